--- /dev/null
+++ b/toucanclock/clock_test.go
@@ -0,0 +1,24 @@
+package toucanclock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A manual clock that could run backwards would make lease and deadline tests
+// pass for the wrong reason.
+func TestManualNeverRunsBackwards(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	clock := NewManual(start)
+	clock.Advance(-time.Second)
+	is.Equal(clock.Now(), start)
+	clock.Advance(time.Second)
+	is.Equal(clock.Now(), start.Add(time.Second))
+	clock.Set(start)
+	is.Equal(clock.Now(), start.Add(time.Second))
+	clock.Set(start.Add(time.Minute))
+	is.Equal(clock.Now(), start.Add(time.Minute))
+}
