--- a/toucancall/call.go
+++ b/toucancall/call.go
@@ -66,6 +66,8 @@
 	ReasonBadRequest Reason = "bad_request"
 	// ReasonTooLarge means that the request is over the size limit.
 	ReasonTooLarge Reason = "too_large"
+	// ReasonSlowSender means that the request body arrived too slowly.
+	ReasonSlowSender Reason = "slow_sender"
 	// ReasonTooDeep means that the call is over MaxDepth hops from its entry.
 	ReasonTooDeep Reason = "too_deep"
 )
