toucannode: carry a call from its entry to a backend server

Adds the daemon with its four listeners, the hop between nodes, the parent table for child calls, and the stand-ins for a backend server and a caller. Discovery, class files, admission, retries and at-most-once execution sit behind small interfaces with plain in-process parts for now.

http.Transport is not used: the outcome of a call depends on knowing whether one byte of it was written, and the transport repeats some requests by itself on a stale pooled connection.

--- /dev/null
+++ b/cmd/toucanhaven/node.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"toucanhaven/toucannode"
+	"toucanhaven/toucansettings"
+)
+
+// nodeCommand runs the daemon until a signal stops it.
+func nodeCommand(parts toucannode.Options) command {
+	var settingsFile, addressesFile string
+	sub := flaggy.NewSubcommand("node")
+	sub.Description = "run the node beside a backend server"
+	sub.String(&settingsFile, "s", "settings", "file with the settings of the node (TOML)")
+	sub.String(&addressesFile, "a", "addresses", "file to which the node writes the addresses it listens on (JSON)")
+	return command{sub: sub, run: func() int {
+		if settingsFile == "" {
+			fmt.Fprintln(os.Stderr, "toucanhaven node: --settings FILE is required")
+			return exitUsage
+		}
+		settings, err := toucansettings.Load(settingsFile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitUsage
+		}
+		parts.Settings = settings
+		parts.Logger = toucannode.NewLogger(os.Stderr, settings.LogLevel)
+		if err := runNode(parts, addressesFile); err != nil {
+			fmt.Fprintln(os.Stderr, "toucanhaven node:", err)
+			return exitError
+		}
+		return exitOK
+	}}
+}
+
+func runNode(parts toucannode.Options, addressesFile string) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	n, err := toucannode.New(parts)
+	if err != nil {
+		return err
+	}
+	n.Start()
+	if addressesFile != "" {
+		if err := writeAddresses(addressesFile, n.Addresses()); err != nil {
+			return err
+		}
+	}
+	<-signals
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(context.Background()) }()
+	select {
+	case err := <-stopped:
+		return err
+	case s := <-signals:
+		return fmt.Errorf("ended at once by a second signal: %v", s)
+	}
+}
+
+// writeAddresses replaces the file in one step, so that a reader never sees a
+// part of it.
+func writeAddresses(file string, a toucannode.Addresses) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("write addresses: %w", err)
+		}
+	}()
+	text, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	part := file + ".part"
+	if err := os.WriteFile(part, append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(part, file)
+}
--- /dev/null
+++ b/cmd/toucanstub/caller.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"toucanhaven/toucancall"
+)
+
+// caller sends requests to a node and prints one line for each.
+type caller struct {
+	service, method, path, tenant, key, requestID string
+	bodyBytes                                     int
+	count, concurrency                            int
+	interval, timeout                             time.Duration
+	client                                        *http.Client
+
+	mu    sync.Mutex
+	total map[string]int
+}
+
+func callerCommand() command {
+	c := &caller{
+		method: http.MethodGet, path: "/", count: 1, concurrency: 1, timeout: 10 * time.Second,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}, total: map[string]int{},
+	}
+	nodeFile := ""
+	sub := flaggy.NewSubcommand("caller")
+	sub.Description = "send requests to a node and print their outcomes"
+	sub.String(&nodeFile, "n", "node", "addresses file of the entry")
+	sub.String(&c.service, "", "service", "service to call")
+	sub.String(&c.method, "", "method", "HTTP method")
+	sub.String(&c.path, "", "path", "path and query")
+	sub.String(&c.tenant, "", "tenant", "tenant of the requests")
+	sub.String(&c.key, "", "key", "idempotency key of the requests")
+	sub.String(&c.requestID, "", "request-id", "request id of the requests")
+	sub.Int(&c.bodyBytes, "", "body-bytes", "size of the request body")
+	sub.Int(&c.count, "", "count", "number of requests")
+	sub.Int(&c.concurrency, "", "concurrency", "requests in flight at the same time")
+	sub.Duration(&c.interval, "", "interval", "pause of each sender between two requests")
+	sub.Duration(&c.timeout, "", "timeout", "timeout of a request")
+	return command{sub: sub, run: func() int {
+		addresses, err := readAddresses(nodeFile)
+		if err != nil {
+			return fail(err)
+		}
+		c.sendAll("http://" + addresses.Caller + c.path)
+		fmt.Printf("total answered=%d not_run=%d failed=%d unknown=%d broken=%d\n", c.total["answered"],
+			c.total["not_run"], c.total["failed"], c.total["unknown"], c.total["broken"])
+		if c.total["answered"] != c.count {
+			return exitError
+		}
+		return exitOK
+	}}
+}
+
+func (c *caller) sendAll(url string) {
+	work := make(chan int)
+	var wait sync.WaitGroup
+	for range c.concurrency {
+		wait.Go(func() {
+			for range work {
+				c.send(url)
+				time.Sleep(c.interval)
+			}
+		})
+	}
+	for i := range c.count {
+		work <- i
+	}
+	close(work)
+	wait.Wait()
+}
+
+// send makes one request. An answer that breaks off counts as broken.
+func (c *caller) send(url string) {
+	var body io.Reader
+	if c.bodyBytes > 0 {
+		body = strings.NewReader(strings.Repeat("b", c.bodyBytes))
+	}
+	req, err := http.NewRequest(c.method, url, body)
+	if err != nil {
+		c.record("broken", "error=%q", err)
+		return
+	}
+	req.GetBody = nil // keeps the client from repeating the request by itself
+	req.Header.Set(toucancall.HeaderService, c.service)
+	req.Header.Set(toucancall.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
+	for field, value := range map[string]string{
+		toucancall.HeaderTenant: c.tenant, toucancall.HeaderIdempotencyKey: c.key, toucancall.HeaderRequestID: c.requestID,
+	} {
+		if value != "" {
+			req.Header.Set(field, value)
+		}
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		c.record("broken", "error=%q", err)
+		return
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.record("broken", "status=%d bytes=%d error=%q", resp.StatusCode, len(answer), err)
+		return
+	}
+	line, _, _ := strings.Cut(string(answer), "\n")
+	c.record(resp.Header.Get(toucancall.HeaderOutcome), "status=%d reason=%s bytes=%d answer=%q",
+		resp.StatusCode, resp.Header.Get(toucancall.HeaderReason), len(answer), line)
+}
+
+func (c *caller) record(outcome, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total[outcome]++
+	fmt.Printf("outcome=%s "+format+"\n", append([]any{outcome}, args...)...)
+}
--- /dev/null
+++ b/toucannode/entry.go
@@ -0,0 +1,348 @@
+package toucannode
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"toucanhaven/toucancall"
+)
+
+func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// entry is one call at the node where it entered the system.
+type entry struct {
+	n         *Node
+	in        *inbound
+	call      toucancall.Call
+	parent    *parent // nil for a request of a plain caller
+	allowance Allowance
+	repeat    bool // running twice does no harm
+	threshold Threshold
+}
+
+// serveCaller takes a request of a caller, or a child call of the local backend
+// server.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(toucancall.HeaderService) == "" && r.URL.Path == "/keys" {
+		n.serveKeys(w, r)
+		return
+	}
+	start := n.clock.Now()
+	e := &entry{n: n, in: &inbound{r: r, w: w}, threshold: OpenThreshold}
+	ctx, end, rep := e.identify(start)
+	if rep == nil {
+		rep = e.serve(ctx)
+	}
+	end(rep)
+	outcome, known := toucancall.Answered, e.call.Service != ""
+	if r := rep.refusal; r != nil {
+		outcome, known = r.Outcome, known && r.Reason != toucancall.ReasonNoBackend
+		n.metrics.refused(r)
+	}
+	defer func() { n.metrics.request(e.call, outcome, known, n.clock.Now().Sub(start)) }()
+	n.deliver(w, rep, false)
+}
+
+// identify reads the metadata of the call. The end function returns what the
+// call drew from its parent.
+func (e *entry) identify(now time.Time) (ctx context.Context, end func(*reply), rep *reply) {
+	r := e.in.r
+	ctx, end = r.Context(), func(*reply) {}
+	call, err := toucancall.FromCaller(r.Header, now)
+	if err != nil {
+		return ctx, end, notRun(toucancall.ReasonBadRequest, err.Error())
+	}
+	if r.Method == http.MethodConnect {
+		return ctx, end, notRun(toucancall.ReasonBadRequest, "method CONNECT is not supported")
+	}
+	token := r.Header.Get(toucancall.HeaderParent)
+	if token == "" {
+		if call.RequestID == "" {
+			call.RequestID = newToken()
+		}
+		file, _ := e.n.files.ClassFile(call.Service)
+		e.call = call.WithClass(file.Match(r.Method, r.URL.Path))
+		e.allowance = e.n.retries.Root(e.call)
+		return ctx, end, nil
+	}
+	if e.parent = e.n.parents.get(token); e.parent == nil {
+		// A finished parent has no allowance left to lend, and nobody waits for
+		// the child call.
+		return ctx, end, notRun(toucancall.ReasonCancelled, "header "+toucancall.HeaderParent+": that call is not running here")
+	}
+	return e.inherit(ctx, call, now)
+}
+
+// inherit makes the call a child of its parent.
+func (e *entry) inherit(ctx context.Context, call toucancall.Call, now time.Time) (context.Context, func(*reply), *reply) {
+	parent := e.parent
+	child := parent.call.WithService(call.Service).WithIdempotencyKey(call.IdempotencyKey)
+	if e.in.r.Header.Get(toucancall.HeaderTimeout) != "" && call.Deadline.Before(child.Deadline) {
+		child.Deadline = call.Deadline
+	}
+	parentCtx, lent := parent.startChild(now)
+	e.call = child.WithRetries(lent)
+	e.allowance = e.n.retries.Child(e.call)
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(parentCtx, cancel)
+	end := func(rep *reply) {
+		finish := func() {
+			stop()
+			cancel()
+			parent.endChild(e.n.clock.Now(), e.allowance.Left(), e.threshold)
+		}
+		if rep.rest == nil {
+			finish()
+			return
+		}
+		ended := rep.ended
+		rep.ended = func(o toucancall.Outcome, reason toucancall.Reason) {
+			if ended != nil {
+				ended(o, reason)
+			}
+			finish()
+		}
+	}
+	if child.Depth > toucancall.MaxDepth {
+		return ctx, end, notRun(toucancall.ReasonTooDeep, "")
+	}
+	return ctx, end, nil
+}
+
+// serve takes the call through the gate and makes its attempts.
+func (e *entry) serve(ctx context.Context) *reply {
+	n := e.n
+	level, reason := n.gate.Check(e.call, e.parent != nil)
+	if reason != "" {
+		return e.refuse(ctx, notRun(reason, ""))
+	}
+	e.call = e.call.WithLevel(level)
+	body, refusal := n.readBody(e.in.w, e.in.r)
+	if refusal != nil {
+		return e.refuse(ctx, &reply{refusal: refusal})
+	}
+	e.in.body = body
+	file, _ := n.files.ClassFile(e.call.Service)
+	e.repeat = !file.Match(e.in.r.Method, e.in.r.URL.Path).AtMostOnce && safeMethod(e.in.r.Method)
+	home, refusal := n.once.Home(ctx, e.call)
+	if refusal != nil {
+		return &reply{refusal: refusal}
+	}
+	return e.attempts(ctx, home)
+}
+
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// refuse ends a call that this entry did not forward. A key is first marked
+// refused at its home.
+func (e *entry) refuse(ctx context.Context, rep *reply) *reply {
+	if e.call.IdempotencyKey == "" {
+		return rep
+	}
+	outcome, reason := e.n.once.Refuse(ctx, e.call)
+	if outcome == toucancall.NotRun {
+		return rep
+	}
+	return refused(outcome, reason, string(rep.refusal.Reason))
+}
+
+// attempts makes attempts until one is final. A call with a key goes to its
+// home only.
+func (e *entry) attempts(ctx context.Context, home string) *reply {
+	n := e.n
+	var tried []string
+	var last *reply
+	for {
+		server, ok := e.choose(home, tried)
+		if !ok {
+			if last == nil {
+				last = e.refuse(ctx, notRun(toucancall.ReasonNoBackend, "no backend server of the service is known"))
+			}
+			return last
+		}
+		now := n.clock.Now()
+		if e.call.Remaining(now) < minRemaining || ctx.Err() != nil {
+			if last == nil {
+				last = e.refuse(ctx, notRun(toucancall.ReasonDeadline, ""))
+			}
+			return last
+		}
+		last = e.attempt(ctx, server, now)
+		if last.refusal == nil || !e.mayRetry(last.refusal) {
+			return last
+		}
+		if last.refusal.Reason == toucancall.ReasonLeaving {
+			n.directory.MarkLeaving(e.call.Service, server.NodeID)
+			n.peers.closeAddress(server.PeerAddress)
+		}
+		delay, ok := e.allowance.Retry()
+		if !ok || !retryDelay(ctx, delay, e.call.Deadline) {
+			return last
+		}
+		tried = append(tried, server.NodeID)
+	}
+}
+
+func (e *entry) choose(home string, tried []string) (BackendServer, bool) {
+	servers := e.n.directory.BackendServers(e.call.Service)
+	if home == "" {
+		return e.n.chooser.Choose(e.call.Service, servers, tried)
+	}
+	for _, s := range servers {
+		if s.NodeID == home {
+			return s, len(tried) == 0
+		}
+	}
+	return BackendServer{}, false
+}
+
+// mayRetry reports whether another attempt can do no harm and may help.
+func (e *entry) mayRetry(r *Refusal) bool {
+	switch r.Reason {
+	case toucancall.ReasonCancelled, toucancall.ReasonDeadline, toucancall.ReasonTooLarge,
+		toucancall.ReasonSlowSender, toucancall.ReasonBadRequest, toucancall.ReasonTooDeep:
+		return false
+	}
+	return e.in.body.repeatable() && (r.Outcome == toucancall.NotRun || e.repeat)
+}
+
+// attempt makes one attempt and tells those who learn from it.
+func (e *entry) attempt(ctx context.Context, server BackendServer, now time.Time) *reply {
+	n, lent := e.n, e.allowance.Lend()
+	call := e.call.WithRetries(lent)
+	var rep *reply
+	if server.NodeID == n.id {
+		rep = n.run(ctx, call, e.in)
+	} else {
+		rep = n.callPeer(ctx, call, server.PeerAddress, e.in)
+	}
+	e.allowance.Return(min(rep.hop.left, lent))
+	if rep.hop.threshold.Before(e.threshold) {
+		e.threshold = rep.hop.threshold
+	}
+	n.gate.Observe(call.Service, call.Class, rep.hop.threshold)
+	n.files.Observe(call.Service, rep.hop.revision)
+	a := Attempt{Outcome: toucancall.Answered, Load: rep.hop.load}
+	if rep.refusal != nil {
+		a.Outcome, a.Reason = rep.refusal.Outcome, rep.refusal.Reason
+	}
+	done := func() {
+		a.Latency = n.clock.Now().Sub(now)
+		n.chooser.Done(call.Service, server.NodeID, a)
+	}
+	if rep.rest == nil {
+		done()
+		return rep
+	}
+	ended := rep.ended
+	rep.ended = func(o toucancall.Outcome, reason toucancall.Reason) {
+		if ended != nil {
+			ended(o, reason)
+		}
+		a.Outcome, a.Reason = o, reason
+		done()
+	}
+	return rep
+}
+
+// callPeer sends the call to the node beside another backend server.
+func (n *Node) callPeer(ctx context.Context, call toucancall.Call, address string, in *inbound) *reply {
+	extra := make(http.Header, 16)
+	call.SetHeaders(extra, n.clock.Now())
+	out := in.outgoing(extra)
+	x, err := n.peers.send(ctx, call.Deadline, address, out, forwardInterim(in.w))
+	if err != nil {
+		rep := n.classify(ctx, err, in.body)
+		rep.hop.load = -1
+		if rep.refusal.Outcome == toucancall.NotRun {
+			rep.hop.left = call.Retries
+		}
+		return rep
+	}
+	hop := readHopReport(x.resp.Header, call.Retries)
+	outcome := toucancall.Outcome(x.resp.Header.Get(toucancall.HeaderOutcome))
+	reason := toucancall.Reason(x.resp.Header.Get(toucancall.HeaderReason))
+	rep := n.answer(ctx, x, out, false)
+	switch {
+	case outcome == toucancall.Answered:
+	case rep.rest != nil: // refusals are short
+		rep.rest.finish(out.body)
+		rep = refused(toucancall.Unknown, toucancall.ReasonConnectionLost, "the peer sent no valid outcome")
+	case outcome.Valid():
+		rep = refused(outcome, reason, refusalDetail(rep.body, outcome, reason))
+	default:
+		rep = refused(toucancall.Unknown, toucancall.ReasonConnectionLost, "the peer sent no valid outcome")
+	}
+	rep.hop = hop
+	return rep
+}
+
+// refusalDetail takes the detail out of the text that writeRefusal wrote.
+func refusalDetail(body []byte, o toucancall.Outcome, reason toucancall.Reason) string {
+	detail, ok := strings.CutPrefix(string(body), "toucanhaven: "+string(o)+": "+string(reason)+": ")
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(detail)
+}
+
+// servePeer takes a call from the entry where it entered.
+func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
+	call, err := toucancall.FromNode(r.Header, n.clock.Now())
+	if err != nil {
+		n.deliver(w, notRun(toucancall.ReasonBadRequest, err.Error()), true)
+		return
+	}
+	if call.Depth > toucancall.MaxDepth {
+		n.deliver(w, notRun(toucancall.ReasonTooDeep, ""), true)
+		return
+	}
+	in := &inbound{r: r, w: w}
+	body, refusal := n.readBody(w, r)
+	if refusal != nil {
+		n.deliver(w, &reply{refusal: refusal, hop: hopReport{threshold: OpenThreshold, left: call.Retries}}, true)
+		return
+	}
+	in.body = body
+	n.deliver(w, n.run(r.Context(), call, in), true)
+}
+
+const maxKeysIssued = 1000
+
+// serveKeys issues keys for at-most-once requests, one a line.
+func (n *Node) serveKeys(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		http.Error(w, "toucanhaven: /keys: want POST", http.StatusMethodNotAllowed)
+		return
+	}
+	query := r.URL.Query()
+	service, count := query.Get("service"), 1
+	if text := query.Get("count"); text != "" {
+		var err error
+		if count, err = strconv.Atoi(text); err != nil || count < 1 || count > maxKeysIssued {
+			http.Error(w, "toucanhaven: count: want a number between 1 and "+strconv.Itoa(maxKeysIssued), http.StatusBadRequest)
+			return
+		}
+	}
+	if service == "" || len(service) > toucancall.MaxNameBytes {
+		http.Error(w, "toucanhaven: service: want the name of a service", http.StatusBadRequest)
+		return
+	}
+	keys, err := n.once.Issue(r.Context(), service, count)
+	if err != nil {
+		http.Error(w, "toucanhaven: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Write([]byte(strings.Join(keys, "\n") + "\n"))
+}
--- /dev/null
+++ b/toucannode/exchange.go
@@ -0,0 +1,364 @@
+package toucannode
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// outgoing is a request as it goes on the wire to the next hop.
+type outgoing struct {
+	method, uri, host string
+	header            http.Header // end-to-end fields
+	extra             http.Header // fields of the hop, which replace those in header
+	body              *inboundBody
+}
+
+// sendError says how far a request came that has no answer.
+type sendError struct {
+	sent     bool // at least one byte of the request was written
+	answered bool // an answer header arrived
+	err      error
+}
+
+func (e *sendError) Error() string { return e.err.Error() }
+func (e *sendError) Unwrap() error { return e.err }
+
+// exchange is one request on one connection, from the moment that its answer
+// header has arrived.
+type exchange struct {
+	pool    *pool
+	c       *conn
+	resp    *http.Response
+	stop    func() bool // stops cancellation; false when it has fired
+	writing chan error  // ends with the streamed body; nil without one
+	whole   bool        // the answer was read to its end
+}
+
+var errUpgrade = errors.New("answer switches protocols, which the request did not ask for")
+
+// interim receives answers with a status of 1xx.
+type interim func(status int, h http.Header)
+
+// send writes the request on a pooled or new connection and reads the answer
+// header. The connection is interrupted when ctx ends or the deadline passes.
+func (p *pool) send(ctx context.Context, deadline time.Time, addr string, out *outgoing, onInterim interim) (*exchange, error) {
+	for {
+		c, reused, err := p.get(ctx, addr, deadline)
+		if err != nil {
+			return nil, &sendError{err: err}
+		}
+		x, err := p.sendOn(ctx, c, deadline, out, onInterim)
+		var failure *sendError
+		if reused && errors.As(err, &failure) && !failure.sent && ctx.Err() == nil && p.now().Before(deadline) {
+			continue // the pooled connection was closed before a byte was written
+		}
+		return x, err
+	}
+}
+
+func (p *pool) sendOn(ctx context.Context, c *conn, deadline time.Time, out *outgoing, onInterim interim) (x *exchange, err error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		c.Close()
+		return nil, &sendError{err: err}
+	}
+	x = &exchange{pool: p, c: c}
+	x.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	var sent atomic.Bool
+	if err = x.write(out, &sent); err == nil {
+		x.resp, err = readAnswer(c, out.method, onInterim)
+	}
+	if err == nil {
+		return x, nil
+	}
+	x.close()
+	if x.writing != nil {
+		out.body.interrupt()
+		if werr := <-x.writing; werr != nil && out.body.failure() != nil {
+			err = werr
+		}
+	}
+	return nil, &sendError{sent: sent.Load(), answered: errors.Is(err, errUpgrade), err: err}
+}
+
+// write sends header and buffered body in one piece. The rest of a longer body
+// is streamed by a goroutine, because the answer may start before it ends.
+func (x *exchange) write(out *outgoing, sent *atomic.Bool) error {
+	x.c.head = appendHead(x.c.head[:0], out)
+	if out.body.plain() {
+		if out.body != nil {
+			x.c.head = append(x.c.head, out.body.prefix...)
+		}
+		return writeAll(x.c, x.c.head, sent)
+	}
+	if err := writeAll(x.c, x.c.head, sent); err != nil {
+		return err
+	}
+	x.writing = make(chan error, 1)
+	go func() {
+		err := out.body.copyTo(x.c)
+		if out.body.failure() != nil {
+			x.c.Close() // the rest of the body will never come
+		}
+		x.writing <- err
+	}()
+	return nil
+}
+
+func writeAll(c *conn, p []byte, sent *atomic.Bool) error {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		sent.Store(true)
+	}
+	return err
+}
+
+func readAnswer(c *conn, method string, onInterim interim) (*http.Response, error) {
+	c.budget = maxAnswerHeaderBytes
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errUpgrade
+		case resp.StatusCode >= 200:
+			c.budget = -1
+			return resp, nil
+		case resp.StatusCode != http.StatusContinue && onInterim != nil:
+			onInterim(resp.StatusCode, resp.Header)
+		}
+	}
+}
+
+// read reads the body of the answer and notes its end.
+func (x *exchange) read(p []byte) (int, error) {
+	n, err := x.resp.Body.Read(p)
+	if err == io.EOF {
+		x.whole = true
+	}
+	return n, err
+}
+
+// buffered reports whether a read would return at once.
+func (x *exchange) buffered() bool { return x.c.r.Buffered() > 0 }
+
+// finish returns the connection to the pool when nothing is left on it, and
+// closes it otherwise. It returns once the streamed body is no longer in use.
+func (x *exchange) finish(body *inboundBody) {
+	clean := x.whole && !x.resp.Close
+	if x.writing != nil {
+		if !clean {
+			x.close()
+		}
+		select {
+		case err := <-x.writing:
+			clean = clean && err == nil
+		default:
+			// The answer ended before the request did.
+			clean = false
+			x.close()
+			body.interrupt()
+			<-x.writing
+		}
+	}
+	clean = x.stop() && clean && x.c.r.Buffered() == 0
+	if clean && x.c.SetDeadline(time.Time{}) == nil {
+		x.pool.put(x.c)
+		return
+	}
+	x.close()
+}
+
+func (x *exchange) close() {
+	x.stop()
+	x.c.Close()
+}
+
+// appendHead writes request line and header fields. Framing follows from the
+// body alone, so a request can never carry two lengths.
+func appendHead(b []byte, out *outgoing) []byte {
+	b = append(b, out.method...)
+	b = append(b, ' ')
+	b = append(b, out.uri...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, out.host...)
+	b = append(b, "\r\n"...)
+	connection := out.header["Connection"]
+	for key, values := range out.header {
+		if _, replaced := out.extra[key]; replaced || hopByHop(key, connection) {
+			continue
+		}
+		b = appendField(b, key, values)
+	}
+	for key, values := range out.extra {
+		b = appendField(b, key, values)
+	}
+	b = out.body.appendFraming(b)
+	return append(b, "\r\n"...)
+}
+
+func appendField(b []byte, key string, values []string) []byte {
+	for _, value := range values {
+		b = append(b, key...)
+		b = append(b, ": "...)
+		b = append(b, value...)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
+// hopByHop reports whether a header field ends at this hop: the fields that
+// RFC 9110 section 7.6.1 names, those that the Connection field lists, and
+// those that frame the message.
+func hopByHop(key string, connection []string) bool {
+	switch key {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host":
+		return true
+	}
+	for _, value := range connection {
+		for name := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(name), key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+const (
+	copyBufferBytes = 32 << 10
+	// chunkOverhead is the space for the size line and the end of one chunk.
+	chunkOverhead = 16
+)
+
+// inboundBody is the body of a request on its way through the node. A short
+// body is read whole before the request goes on, so that a slow sender holds no
+// slot and a body that breaks off ends as not run.
+type inboundBody struct {
+	r       io.Reader // rest of the body; nil when prefix holds it all
+	length  int64     // -1 when unknown
+	prefix  []byte
+	trailer http.Header // announced trailer fields, filled at the end of the body
+	started bool        // bytes of r were consumed, so the body cannot be sent again
+
+	stopReading func()
+	err         atomic.Pointer[error] // failure of the sender
+}
+
+func (b *inboundBody) whole() bool { return b == nil || b.r == nil }
+
+// repeatable reports whether the body can be sent again.
+func (b *inboundBody) repeatable() bool { return b.whole() || !b.started }
+
+// interrupt makes a pending read of the body return.
+func (b *inboundBody) interrupt() {
+	if b != nil && b.stopReading != nil {
+		b.stopReading()
+	}
+}
+
+// failure returns why the sender's body could not be read, or nil.
+func (b *inboundBody) failure() error {
+	if b == nil {
+		return nil
+	}
+	if err := b.err.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// plain reports whether the body is at hand and needs no chunks.
+func (b *inboundBody) plain() bool { return b == nil || b.r == nil && len(b.trailer) == 0 }
+
+func (b *inboundBody) chunked() bool { return b.length < 0 || len(b.trailer) > 0 }
+
+func (b *inboundBody) appendFraming(head []byte) []byte {
+	if b == nil {
+		return head
+	}
+	if b.chunked() {
+		if len(b.trailer) > 0 {
+			head = append(append(head, "Trailer: "...), trailerNames(b.trailer)...)
+			head = append(head, "\r\n"...)
+		}
+		return append(head, "Transfer-Encoding: chunked\r\n"...)
+	}
+	head = append(head, "Content-Length: "...)
+	head = strconv.AppendInt(head, b.length, 10)
+	return append(head, "\r\n"...)
+}
+
+func trailerNames(h http.Header) string {
+	names := make([]string, 0, len(h))
+	for name := range h {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
+// copyTo streams the body to the next hop. A failure of the sender is kept
+// apart from a failure of the connection.
+func (b *inboundBody) copyTo(w io.Writer) error {
+	b.started = b.r != nil
+	bw := bufio.NewWriterSize(w, copyBufferBytes)
+	buf := make([]byte, copyBufferBytes-chunkOverhead)
+	var rest io.Reader = bytes.NewReader(b.prefix)
+	if b.r != nil {
+		rest = io.MultiReader(rest, b.r)
+	}
+	for {
+		n, err := rest.Read(buf)
+		if n > 0 {
+			if err := b.writePiece(bw, buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			b.err.Store(&err)
+			return err
+		}
+	}
+	if b.chunked() {
+		if err := b.writeEnd(bw); err != nil {
+			return err
+		}
+	}
+	return bw.Flush()
+}
+
+func (b *inboundBody) writePiece(w *bufio.Writer, p []byte) error {
+	if b.chunked() {
+		fmt.Fprintf(w, "%x\r\n", len(p))
+		w.Write(p)
+		w.WriteString("\r\n")
+	} else {
+		w.Write(p)
+	}
+	return w.Flush()
+}
+
+func (b *inboundBody) writeEnd(w *bufio.Writer) error {
+	w.WriteString("0\r\n")
+	if err := b.trailer.Write(w); err != nil {
+		return err
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
--- /dev/null
+++ b/toucannode/node.go
@@ -0,0 +1,334 @@
+// Package toucannode is the daemon that runs beside a backend server: it takes
+// calls of callers and of other nodes, and hands calls to the backend server.
+package toucannode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucansettings"
+)
+
+const (
+	// serverIdle is longer than the idle time after which clients close their
+	// side, see peerIdle.
+	serverIdle = 90 * time.Second
+	// writeTimeout ends a connection whose reader takes no bytes. It is longer
+	// than any call may last.
+	writeTimeout = toucancall.MaxTimeout + 10*time.Second
+	// peerHeaderBytes is what an entry adds to the header of a request.
+	peerHeaderBytes = 4 << 10
+	// leaveSpread is the time after which no entry chooses a backend server
+	// that announced leaving.
+	leaveSpread = 5 * time.Second
+	tick        = time.Second
+)
+
+// Options are the parts of a node. A nil part gets a plain one that works
+// inside one process.
+type Options struct {
+	Settings   toucansettings.Settings
+	Logger     *slog.Logger
+	Clock      toucanclock.Clock
+	Directory  Directory
+	ClassFiles ClassFiles
+	Admission  Admission
+	Gate       Gate
+	Chooser    Chooser
+	Retries    Retries
+	Once       Once
+}
+
+// Addresses are the addresses on which a node listens.
+type Addresses struct {
+	Caller  string `json:"caller_address"`
+	Peer    string `json:"peer_address"`
+	Control string `json:"control_address"`
+	Admin   string `json:"admin_address"`
+}
+
+// Node is a running daemon.
+type Node struct {
+	settings    toucansettings.Settings
+	log         *slog.Logger
+	clock       toucanclock.Clock
+	directory   Directory
+	files       ClassFiles
+	admission   Admission
+	gate        Gate
+	chooser     Chooser
+	retries     Retries
+	once        Once
+	id          string
+	incarnation int64
+	addresses   Addresses
+
+	local    local
+	parents  parentTable
+	peers    *pool
+	backends *pool
+	metrics  *nodeMetrics
+	admin    *http.ServeMux
+	control  *rpc.Server
+
+	listeners   []net.Listener // caller, peer, control, admin
+	servers     []*http.Server // caller, peer, admin
+	peerConns   atomic.Int64
+	closing     atomic.Bool
+	stopTicking chan struct{}
+	background  sync.WaitGroup
+}
+
+// New opens the listeners of a node, so that its addresses are known. It serves
+// once Start is called.
+func New(o Options) (n *Node, err error) {
+	n = &Node{
+		settings: o.Settings, log: o.Logger, clock: o.Clock, directory: o.Directory, files: o.ClassFiles,
+		admission: o.Admission, gate: o.Gate, chooser: o.Chooser, retries: o.Retries, once: o.Once,
+		admin: http.NewServeMux(), control: rpc.NewServer(), stopTicking: make(chan struct{}),
+	}
+	n.fillIn()
+	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
+	n.metrics = newNodeMetrics(n)
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.incarnation = n.clock.Now().UnixNano()
+	n.adminHandlers()
+	return n, nil
+}
+
+// fillIn replaces nil parts.
+func (n *Node) fillIn() {
+	if n.log == nil {
+		n.log = slog.New(slog.DiscardHandler)
+	}
+	if n.clock == nil {
+		n.clock = toucanclock.System{}
+	}
+	if n.directory == nil {
+		n.directory = &MemoryDirectory{}
+	}
+	if n.files == nil {
+		n.files = &MemoryClassFiles{}
+	}
+	if n.admission == nil {
+		n.admission = openAdmission{}
+	}
+	if n.gate == nil {
+		n.gate = openGate{}
+	}
+	if n.chooser == nil {
+		n.chooser = randomChooser{}
+	}
+	if n.retries == nil {
+		n.retries = fixedRetries{}
+	}
+	if n.once == nil {
+		n.once = &memoryOnce{}
+	}
+}
+
+func (n *Node) listen() (err error) {
+	s := n.settings
+	defer func() {
+		if err != nil {
+			for _, l := range n.listeners {
+				l.Close()
+			}
+			err = fmt.Errorf("listen: %w", err)
+		}
+	}()
+	into := []*string{&n.addresses.Caller, &n.addresses.Peer, &n.addresses.Control, &n.addresses.Admin}
+	for i, addr := range []fmt.Stringer{s.CallerAddress, s.PeerAddress, s.ControlAddress, s.AdminAddress} {
+		l, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			return err
+		}
+		n.listeners = append(n.listeners, l)
+		*into[i] = l.Addr().String()
+	}
+	n.id = n.addresses.Control
+	return nil
+}
+
+// ID returns the id of the node, which is its control address.
+func (n *Node) ID() string { return n.id }
+
+// Addresses returns the addresses on which the node listens.
+func (n *Node) Addresses() Addresses { return n.addresses }
+
+// Admin returns the mux of the admin listener, for handlers that others add
+// before Start.
+func (n *Node) Admin() *http.ServeMux { return n.admin }
+
+// Control returns the server of control messages, for receivers that others
+// register before Start.
+func (n *Node) Control() *rpc.Server { return n.control }
+
+func (n *Node) self(state ServerState) BackendServer {
+	return BackendServer{NodeID: n.id, PeerAddress: n.addresses.Peer, DataCentre: n.settings.DataCentre, State: state}
+}
+
+// Start begins to serve.
+func (n *Node) Start() {
+	limits := n.settings.Limits
+	caller := n.server(http.HandlerFunc(n.serveCaller), limits.MaxHeaderBytes)
+	peer := n.server(http.HandlerFunc(n.servePeer), limits.MaxHeaderBytes+peerHeaderBytes)
+	peer.ConnState = n.countPeerConns
+	admin := n.server(n.admin, limits.MaxHeaderBytes)
+	n.servers = []*http.Server{caller, peer, admin}
+	for i, l := range []net.Listener{n.listeners[0], n.listeners[1], n.listeners[3]} {
+		n.background.Go(func() { n.serve(n.servers[i], l) })
+	}
+	n.background.Go(n.serveControl)
+	n.background.Go(n.ticker)
+	n.log.Info("listening", slog.String("caller_address", n.addresses.Caller), slog.String("peer_address", n.addresses.Peer),
+		slog.String("control_address", n.addresses.Control), slog.String("admin_address", n.addresses.Admin))
+}
+
+func (n *Node) server(h http.Handler, maxHeaderBytes int) *http.Server {
+	return &http.Server{
+		Handler:                      h,
+		ReadHeaderTimeout:            n.settings.Limits.HeaderTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  serverIdle,
+		MaxHeaderBytes:               maxHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     log.New(errorLog{n.log}, "", 0),
+	}
+}
+
+// errorLog takes the lines of http.Server.
+type errorLog struct{ log *slog.Logger }
+
+func (e errorLog) Write(p []byte) (int, error) {
+	e.log.Warn("http_server", slog.String("error", string(p)))
+	return len(p), nil
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error("listener_failed", slog.String("address", l.Addr().String()), slog.Any("error", err))
+	}
+}
+
+func (n *Node) serveControl() {
+	for {
+		c, err := n.listeners[2].Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		go n.control.ServeConn(c)
+	}
+}
+
+func (n *Node) countPeerConns(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		n.peerConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.peerConns.Add(-1)
+	}
+}
+
+func (n *Node) ticker() {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			n.peers.closeIdle()
+			n.backends.closeIdle()
+			n.checkBackend()
+		case <-n.stopTicking:
+			return
+		}
+	}
+}
+
+// Stop ends the node without cutting a call off: it announces leaving, refuses
+// new calls for its backend server, waits for the running ones and then writes
+// its seal. It returns an error when the stop timeout of the settings or ctx
+// ended calls that were still running.
+func (n *Node) Stop(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout)
+	defer cancel()
+	n.closing.Store(true)
+	n.drain()
+	n.waitForRuns(ctx)
+	if err = n.once.Seal(ctx); err != nil {
+		n.log.Warn("seal_failed", slog.Any("error", err))
+	}
+	err = n.shutDown(ctx)
+	close(n.stopTicking)
+	n.listeners[2].Close()
+	n.peers.close()
+	n.backends.close()
+	n.background.Wait()
+	n.log.Info("stopped", slog.Bool("whole", err == nil))
+	return err
+}
+
+const runPoll = 10 * time.Millisecond
+
+// waitForRuns waits until no call runs at the local backend server and no entry
+// can still choose it: leaving has spread, or no entry holds a connection.
+func (n *Node) waitForRuns(ctx context.Context) {
+	spread := time.NewTimer(leaveSpread)
+	defer spread.Stop()
+	poll := time.NewTicker(runPoll)
+	defer poll.Stop()
+	over := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-spread.C:
+			over = true
+		case <-poll.C:
+		}
+		if n.local.running() == 0 && (over || n.peerConns.Load() == 0) {
+			return
+		}
+	}
+}
+
+// shutDown closes the listeners, waits for requests in flight and closes what
+// is left when ctx ends.
+func (n *Node) shutDown(ctx context.Context) error {
+	errs := make([]error, len(n.servers))
+	var wait sync.WaitGroup
+	for i, s := range n.servers {
+		wait.Go(func() {
+			if errs[i] = s.Shutdown(ctx); errs[i] != nil {
+				s.Close()
+			}
+		})
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// NewLogger returns a logger that writes one line of key=value pairs per event.
+func NewLogger(w io.Writer, level slog.Level) *slog.Logger {
+	replace := func(groups []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.MessageKey && len(groups) == 0 {
+			a.Key = "event"
+		}
+		return a
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: replace}))
+}
--- /dev/null
+++ b/toucannode/node_test.go
@@ -0,0 +1,141 @@
+package toucannode
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclass"
+	"toucanhaven/toucansettings"
+)
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// lines returns the lines of one event.
+func (l *logBuffer) lines(event string) (found []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.SplitSeq(l.buf.String(), "\n") {
+		if strings.Contains(line, "event="+event+" ") {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// fleet is a set of nodes that share a directory and class files.
+type fleet struct {
+	t         testing.TB
+	directory *MemoryDirectory
+	files     *MemoryClassFiles
+	log       *logBuffer
+	settings  toucansettings.Settings
+	parts     Options
+}
+
+func newFleet(t testing.TB) *fleet {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	f := &fleet{t: t, directory: &MemoryDirectory{}, files: &MemoryClassFiles{}, log: &logBuffer{}}
+	f.settings = toucansettings.Settings{
+		CallerAddress: loopback, PeerAddress: loopback, ControlAddress: loopback, AdminAddress: loopback,
+		DataCentre: "dc1", Region: "r1", Limits: toucansettings.DefaultLimits, StopTimeout: 10 * time.Second,
+	}
+	f.files.Set(toucanclass.File{Service: "ordini", Classes: []toucanclass.Class{
+		{Name: "place_order", Method: "POST", Path: "/orders", Latency: time.Second, Success: 0.9999, AtMostOnce: true},
+		{Name: "read_order", Method: "GET", Path: "/orders", Latency: time.Second, Success: 0.99},
+	}})
+	return f
+}
+
+// node starts a node. With a handler it gets a backend server of the service.
+func (f *fleet) node(service string, h http.Handler) *Node {
+	f.t.Helper()
+	o := f.parts
+	o.Settings, o.Directory, o.ClassFiles = f.settings, f.directory, f.files
+	o.Logger = NewLogger(f.log, slog.LevelDebug)
+	n, err := New(o)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.Start()
+	if h != nil {
+		server := httptest.NewServer(h)
+		f.t.Cleanup(server.Close)
+		n.announce(service, server.Listener.Addr().String())
+	}
+	f.t.Cleanup(func() {
+		if !n.closing.Load() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // the test is over; nothing is worth waiting for
+			_ = n.Stop(ctx)
+		}
+	})
+	return n
+}
+
+// do sends a request to an entry. Pairs are header fields and values.
+func (f *fleet) do(n *Node, method, path string, body io.Reader, pairs ...string) (*http.Response, string) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.Addresses().Caller+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.GetBody = nil
+	req.Header.Set(toucancall.HeaderService, "ordini")
+	for i := 0; i+1 < len(pairs); i += 2 {
+		req.Header.Set(pairs[i], pairs[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return resp, string(answer)
+}
+
+// outcome returns outcome and reason of an answer.
+func outcome(resp *http.Response) string {
+	return strings.TrimSpace(resp.Header.Get(toucancall.HeaderOutcome) + " " + resp.Header.Get(toucancall.HeaderReason))
+}
+
+func TestCallCrossesTwoNodes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	entry := f.node("", nil)
+	f.node("ordini", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, r.Method+" "+r.RequestURI+" "+string(body))
+	}))
+	resp, body := f.do(entry, "POST", "/orders?brand=%C3%A9", strings.NewReader("cup"))
+	is.Equal(resp.StatusCode, http.StatusCreated)
+	is.Equal(outcome(resp), "answered")
+	is.Equal(body, "POST /orders?brand=%C3%A9 cup")
+	is.Equal(len(f.log.lines("request_run")), 1)
+	is.Equal(len(f.log.lines("request_start")), 1)
+}
--- /dev/null
+++ b/toucannode/parents.go
@@ -0,0 +1,122 @@
+package toucannode
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"toucanhaven/toucancall"
+)
+
+// newToken returns an unguessable word of 26 characters.
+func newToken() string { return rand.Text() }
+
+// parentTable holds the calls that run at the local backend server, by the
+// token that the backend server copies onto its child calls.
+type parentTable struct {
+	mu      sync.RWMutex
+	running map[string]*parent
+}
+
+func (t *parentTable) add(p *parent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running == nil {
+		t.running = map[string]*parent{}
+	}
+	t.running[p.token] = p
+}
+
+func (t *parentTable) remove(token string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, token)
+}
+
+func (t *parentTable) get(token string) *parent {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.running[token]
+}
+
+// parent is a running call and what its child calls draw from it and report.
+type parent struct {
+	token string
+	call  toucancall.Call
+
+	mu         sync.Mutex
+	held       int // retry allowance not lent at the moment
+	returned   bool
+	threshold  Threshold // most restrictive of the child calls
+	children   int
+	busySince  time.Time // since when at least one child call runs
+	childTime  time.Duration
+	ctx        context.Context // ends when the run fails; made for the first child call
+	cancel     context.CancelFunc
+	cancelling bool
+}
+
+func newParent(c toucancall.Call) *parent {
+	return &parent{token: newToken(), call: c, held: c.Retries, threshold: OpenThreshold}
+}
+
+// startChild lends a part of the allowance to a child call.
+func (p *parent) startChild(now time.Time) (ctx context.Context, lent int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx == nil {
+		p.ctx, p.cancel = context.WithCancel(context.Background())
+		if p.cancelling {
+			p.cancel()
+		}
+	}
+	if p.children == 0 {
+		p.busySince = now
+	}
+	p.children++
+	lent = half(p.held)
+	p.held -= lent
+	return p.ctx, lent
+}
+
+// endChild takes back the unused part of a child call's allowance.
+func (p *parent) endChild(now time.Time, left int, t Threshold) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.children--; p.children == 0 {
+		p.childTime += now.Sub(p.busySince)
+	}
+	if !p.returned {
+		p.held += left
+	}
+	if t.Before(p.threshold) {
+		p.threshold = t
+	}
+}
+
+// report returns what the answer of the run carries. The allowance goes back
+// with it, so later child calls get none.
+func (p *parent) report() (left int, t Threshold) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left, p.held, p.returned = p.held, 0, true
+	return left, p.threshold
+}
+
+// end stops the child calls of a run that failed, and returns the time during
+// which a child call was running.
+func (p *parent) end(now time.Time, failed bool) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if failed {
+		p.cancelling = true
+		if p.cancel != nil {
+			p.cancel()
+		}
+	}
+	if p.children > 0 {
+		return p.childTime + now.Sub(p.busySince)
+	}
+	return p.childTime
+}
--- /dev/null
+++ b/toucannode/policy.go
@@ -0,0 +1,159 @@
+package toucannode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclass"
+)
+
+// ServerState says whether a backend server may be chosen. The set is closed.
+type ServerState string
+
+const (
+	// ServerAlive means that the backend server takes calls.
+	ServerAlive ServerState = "alive"
+	// ServerSuspect means that its node missed probes.
+	ServerSuspect ServerState = "suspect"
+	// ServerLeaving means that it takes no new calls.
+	ServerLeaving ServerState = "leaving"
+)
+
+// BackendServer is a backend server as the entries of its service know it.
+type BackendServer struct {
+	NodeID      string // control address of the node beside it
+	PeerAddress string
+	DataCentre  string
+	State       ServerState
+}
+
+// Directory knows the backend servers of services and spreads the word about
+// the one beside this node.
+type Directory interface {
+	// BackendServers returns those known now. The caller does not change the slice.
+	BackendServers(service string) []BackendServer
+	// MarkLeaving notes that a backend server refused a call because it is leaving.
+	MarkLeaving(service, nodeID string)
+	// Announce says that the backend server beside this node takes calls.
+	Announce(service string, self BackendServer)
+	// Leave says that it takes no new calls.
+	Leave(service string, self BackendServer)
+}
+
+// ClassFiles gives the class file in force for a service.
+type ClassFiles interface {
+	ClassFile(service string) (file toucanclass.File, revision uint64)
+	// Observe notes a revision that an answer carried.
+	Observe(service string, revision uint64)
+}
+
+// Admission decides when a call starts at the local backend server.
+type Admission interface {
+	// Admit waits until the call may start. A refused call has a nil slot and a
+	// reason. Admit returns when ctx ends or the deadline of the call passes.
+	Admit(ctx context.Context, c toucancall.Call) (Slot, toucancall.Reason)
+	Threshold() Threshold
+	// Load is the load of the backend server; 1000 means that it is full.
+	Load() int
+}
+
+// Slot is the right to run one call.
+type Slot interface {
+	Release(RunResult)
+}
+
+// RunResult is what a run tells admission control.
+type RunResult struct {
+	Latency   time.Duration
+	ChildTime time.Duration // part of Latency during which a child call was running
+	Outcome   toucancall.Outcome
+	Reason    toucancall.Reason
+}
+
+// Gate refuses calls at the entry that would be refused deeper in the graph.
+type Gate interface {
+	// Check returns the tenant-fair level of a call, or a reason to refuse it.
+	Check(c toucancall.Call, child bool) (level int, reason toucancall.Reason)
+	Observe(service, class string, t Threshold)
+}
+
+// Attempt is the end of one attempt as the choice of backend servers sees it.
+type Attempt struct {
+	Latency time.Duration
+	Outcome toucancall.Outcome
+	Reason  toucancall.Reason
+	Load    int // reported on the answer; -1 when none was
+}
+
+// Chooser picks the backend server of an attempt.
+type Chooser interface {
+	// Choose returns false when no server is left. Servers in tried failed
+	// earlier attempts of the same call.
+	Choose(service string, servers []BackendServer, tried []string) (BackendServer, bool)
+	// Done ends an attempt that Choose began.
+	Done(service, nodeID string, a Attempt)
+}
+
+// Retries gives calls their retry allowance.
+type Retries interface {
+	// Root starts the allowance of a request at its entry.
+	Root(c toucancall.Call) Allowance
+	// Child starts the allowance of a child call from what its parent lent.
+	Child(c toucancall.Call) Allowance
+}
+
+// Allowance is the retry allowance of one call at its entry.
+type Allowance interface {
+	// Lend takes the part that goes with an attempt.
+	Lend() int
+	// Return gives back the unused part of what was lent. A lost answer
+	// returns nothing.
+	Return(left int)
+	// Retry takes one retry and returns the delay before it.
+	Retry() (delay time.Duration, ok bool)
+	// Left is what the call still holds.
+	Left() int
+}
+
+// Once keeps requests of at-most-once classes from running twice.
+type Once interface {
+	// Home returns the node that alone may run the key of the call, or an empty
+	// id when the call has no key. A refusal ends the call.
+	Home(ctx context.Context, c toucancall.Call) (nodeID string, r *Refusal)
+	// Begin decides at the home whether the call runs. At most one of the
+	// results is set.
+	Begin(ctx context.Context, c toucancall.Call) (run OnceRun, repeat *StoredAnswer, r *Refusal)
+	// Refuse marks the key of a call refused at its home, before the entry
+	// tells the caller that the call did not run.
+	Refuse(ctx context.Context, c toucancall.Call) (toucancall.Outcome, toucancall.Reason)
+	// Issue returns new keys for a service.
+	Issue(ctx context.Context, service string, count int) ([]string, error)
+	// Seal records at a planned stop which keys ran.
+	Seal(ctx context.Context) error
+}
+
+// OnceRun is a run of an at-most-once request at its home.
+type OnceRun interface {
+	// Finish ends the run. The answer is nil when there is none to remember.
+	Finish(o toucancall.Outcome, r toucancall.Reason, a *StoredAnswer)
+	// Withdraw ends a run of which nothing reached the backend server. The key
+	// is refused from then on.
+	Withdraw()
+}
+
+// StoredAnswer is a whole answer that a repeat of its key receives.
+type StoredAnswer struct {
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Trailer http.Header
+}
+
+// Refusal ends a call without an answer.
+type Refusal struct {
+	Outcome toucancall.Outcome
+	Reason  toucancall.Reason
+	Detail  string // one line for the caller
+}
