--- /dev/null
+++ b/cmd/toucanstub/kv.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/integrii/flaggy"
+
+	"toucanhaven/toucankvtest"
+)
+
+// kvCommand runs the stand-in for the key-value service until it is ended.
+func kvCommand() command {
+	address := "127.0.0.1:8500"
+	flags := flaggy.NewSubcommand("kv")
+	flags.Description = "stand-in for the key-value service, with faults set at PUT /test/faults"
+	flags.String(&address, "a", "address", "address to listen on; port 0 chooses a free port")
+	return command{flags: flags, run: func() error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("event=listening address=%s\n", listener.Addr())
+		return http.Serve(listener, &toucankvtest.Server{})
+	}}
+}
