--- a/cmd/toucanstub/main.go
+++ b/cmd/toucanstub/main.go
@@ -1,4 +1,5 @@
-// Command toucanstub holds stand-ins for tests: a backend server and a caller.
+// Command toucanstub runs stand-ins for tests: the key-value service, a backend
+// server and a caller.
 package main
 
 import (
@@ -31,7 +32,7 @@
 	parser := flaggy.NewParser("toucanstub")
 	parser.Description = "stand-ins for tests of toucanhaven"
 	parser.ShowCompletion = false
-	commands := []command{backendCommand(), callerCommand()}
+	commands := []command{kvCommand(), backendCommand(), callerCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
