--- a/toucanbalance/picker.go
+++ b/toucanbalance/picker.go
@@ -183,28 +183,33 @@
 	if s := p.dueProbe(now, exclude); s != nil {
 		return s.Server, true
 	}
-	near := p.choose(p.near, now, exclude)
-	if near != nil && !p.overloaded(near, now) {
-		return near.Server, true
+	if s := p.nearOrFar(now, exclude, false); s != nil {
+		return s.Server, true
 	}
-	far := p.choose(p.far, now, exclude)
-	switch {
-	case near != nil && far != nil:
-		if p.cost(far, now)*spillMargin < p.cost(near, now) {
-			return far.Server, true
-		}
-		return near.Server, true
-	case near != nil:
-		return near.Server, true
-	case far != nil:
-		return far.Server, true
+	if s := p.nearOrFar(now, exclude, true); s != nil {
+		return s.Server, true
 	}
-	if s := p.choose(p.last, now, exclude); s != nil {
+	if s := p.choose(p.last, now, exclude, true); s != nil {
 		return s.Server, true
 	}
 	return Server{}, false
 }
 
+// nearOrFar prefers the near data centre until its choice is loaded or failing
+// and a far one is clearly cheaper. A server in slow start that is passed over
+// counts only when cold is set, that is when there is no other.
+func (p *Picker) nearOrFar(now time.Time, exclude []string, cold bool) *server {
+	near := p.choose(p.near, now, exclude, cold)
+	if near != nil && !p.overloaded(near, now) {
+		return near
+	}
+	far := p.choose(p.far, now, exclude, cold)
+	if near == nil || far != nil && p.cost(far, now)*spillMargin < p.cost(near, now) {
+		return far
+	}
+	return near
+}
+
 // Start records that a call was sent to the server.
 func (p *Picker) Start(id string) {
 	if s := p.servers[id]; s != nil {
@@ -320,41 +325,35 @@
 }
 
 // choose is the power of two choices: the cheaper of two distinct random
-// candidates. The scan after a random start skips excluded servers.
-func (p *Picker) choose(candidates []*server, now time.Time, exclude []string) *server {
-	first := p.sampleOne(candidates, now, exclude, nil)
+// candidates. With cold set, servers in slow start are not passed over.
+func (p *Picker) choose(candidates []*server, now time.Time, exclude []string, cold bool) *server {
+	first := p.sampleOne(candidates, now, exclude, cold, nil)
 	if first == nil {
 		return nil
 	}
-	second := p.sampleOne(candidates, now, exclude, first)
+	second := p.sampleOne(candidates, now, exclude, cold, first)
 	if second != nil && p.cost(second, now) < p.cost(first, now) {
 		return second
 	}
 	return first
 }
 
-func (p *Picker) sampleOne(candidates []*server, now time.Time, exclude []string, not *server) *server {
+// sampleOne scans from a random start, so that skipping needs no second draw.
+func (p *Picker) sampleOne(candidates []*server, now time.Time, exclude []string, cold bool, not *server) *server {
 	if len(candidates) == 0 {
 		return nil
 	}
-	var fallback *server
 	start := p.random.IntN(len(candidates))
 	for i := range candidates {
 		s := candidates[(start+i)%len(candidates)]
 		if s == not || slices.Contains(exclude, s.ID) {
 			continue
 		}
-		if w := p.weight(s, now); w >= 1 || p.random.Float64() < w {
+		if w := p.weight(s, now); cold || w >= 1 || p.random.Float64() < w {
 			return s
 		}
-		if fallback == nil {
-			fallback = s
-		}
 	}
-	if not != nil {
-		return nil
-	}
-	return fallback
+	return nil
 }
 
 // weight is the chance that a sampled server is considered. It grows during
