toucanretry, toucanadmission: add first versions

One retry allowance per request and chain, a memory of request ids and a retry budget per service. A concurrency limit learned from paired windows of own time, a short ordered queue, tenant-fair levels and thresholds from the queueing delay.

--- /dev/null
+++ b/toucanadmission/admission_test.go
@@ -0,0 +1,169 @@
+package toucanadmission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclass"
+	"toucanhaven/toucanclock"
+)
+
+var (
+	testStart  = time.Unix(1_800_000_000, 0)
+	urgentRank = toucanclass.RankOf(200*time.Millisecond, 0.999)
+	browseRank = toucanclass.RankOf(time.Second, 0.9)
+)
+
+func newTestClock() *toucanclock.Manual { return toucanclock.NewManual(testStart) }
+
+func TestControllerOrder(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	c := NewController(clock, WithLimits(1, 1, 1))
+	is.Equal(c.Offer(Work{ID: 1, Rank: browseRank}).Verdict, Start)
+	is.Equal(c.Offer(Work{ID: 2, Rank: browseRank}).Verdict, Wait)
+	is.Equal(c.Offer(Work{ID: 3, Rank: urgentRank}).Verdict, Wait)
+	is.Equal(c.Offer(Work{ID: 4, Rank: urgentRank, Deadline: testStart.Add(5 * time.Millisecond)}).Verdict, Wait)
+	is.Equal(len(c.Cancel(3)), 0)
+	clock.Advance(10 * time.Millisecond)
+	effects := c.Finish(1, Result{Outcome: toucancall.Answered})
+	is.Equal(effects, []Effect{Refused{ID: 4, Reason: toucancall.ReasonDeadline}, Started{ID: 2}})
+	is.Equal(len(c.Finish(2, Result{Outcome: toucancall.Answered})), 0)
+	is.Equal(c.Running()+c.Queued(), 0)
+	is.Equal(len(c.waiting), 0)
+}
+
+// Guards against an urgent call refused because less urgent calls fill the queue.
+func TestFullQueueKeepsUrgentCalls(t *testing.T) {
+	is := is.New(t)
+	c := NewController(newTestClock(), WithLimits(1, 1, 1))
+	for id := range uint64(1 + minQueueBound) {
+		c.Offer(Work{ID: id, Rank: browseRank})
+	}
+	d := c.Offer(Work{ID: 100, Rank: urgentRank})
+	is.Equal(d.Verdict, Wait)
+	is.Equal(len(d.Effects), 1)
+	is.Equal(c.Offer(Work{ID: 101, Rank: browseRank}).Verdict, Refuse)
+}
+
+// Guards against one faulty backend server whose absurd threshold shuts off
+// the service for everybody.
+func TestGateIgnoresAbsurdThreshold(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	g := NewGate(clock, rand.New(rand.NewPCG(1, 2)))
+	refused := 0
+	for i := range 30_000 {
+		if _, d := g.Check("ordini", "order", urgentRank, "t"); d.Verdict != Start {
+			refused++
+		}
+		t := Open
+		if i%3 == 0 {
+			t = Threshold{}
+		}
+		g.Observe("ordini", "order", t)
+		clock.Advance(time.Millisecond)
+	}
+	is.Equal(refused, 0)
+}
+
+// Guards against a service that stays shut off because no call reaches it any more.
+func TestGateAges(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	g := NewGate(clock, rand.New(rand.NewPCG(1, 2)))
+	for range rememberedThresholds {
+		g.Observe("ordini", "order", Threshold{Rank: urgentRank - 1})
+	}
+	is.Equal(g.Permits("ordini", "order", urgentRank, 0).Verdict, Refuse)
+	clock.Advance(1300 * time.Millisecond)
+	is.Equal(g.Permits("ordini", "order", urgentRank, 0).Verdict, Start)
+	is.Equal(g.Permits("ordini", "order", urgentRank, 100).Verdict, Refuse)
+	clock.Advance(5 * time.Second)
+	is.Equal(g.Permits("ordini", "order", urgentRank, 100).Verdict, Start)
+}
+
+// Guards against unbounded memory under made-up tenants, ranks and classes, and
+// against made-up tenants that displace an active one.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	g := NewGate(clock, rand.New(rand.NewPCG(1, 2)))
+	c := NewController(clock)
+	own := tenantKey{tenant: "member", rank: urgentRank}
+	for i := range 100_000 {
+		if i%1000 == 0 {
+			c.Offer(Work{ID: uint64(i), Rank: urgentRank, Tenant: "member"})
+		}
+		g.Check("s", "c", urgentRank, fmt.Sprint("made-up", i))
+		g.Observe(fmt.Sprint("s", i), "c", Open)
+		c.Offer(Work{ID: uint64(i), Rank: toucanclass.Rank(i), Tenant: fmt.Sprint("made-up", i)})
+		c.Cancel(uint64(i))
+		clock.Advance(100 * time.Microsecond)
+	}
+	is.True(len(g.tenants.uses) <= maxTenants)
+	is.True(len(g.states) <= maxGates)
+	is.True(len(c.tenants.uses) <= maxTenants)
+	is.True(len(c.shedder.ranks) <= maxRanks)
+	is.True(c.tenants.uses[own] != nil)
+}
+
+func FuzzParseThreshold(f *testing.F) {
+	for _, s := range []string{"0.0", Open.String(), "1.128", "-1.-1", "1", ".", "99999999999999999999.1", "1.1.1"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		got, err := ParseThreshold(s)
+		if err != nil {
+			if got != Open {
+				t.Errorf("malformed %q closes the gate: %v", s, got)
+			}
+			return
+		}
+		if again, err := ParseThreshold(got.String()); err != nil || again != got {
+			t.Errorf("round trip changed %v to %v: %v", got, again, err)
+		}
+	})
+}
+
+func FuzzParseLoad(f *testing.F) {
+	for _, s := range []string{"0.85", "NaN", "Inf", "-1", "1e300", "", "0x1p-2"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		l, err := ParseLoad(s)
+		if err == nil && !(l >= 0 && l <= maxLoad) {
+			t.Errorf("%q gives load %v", s, l)
+		}
+	})
+}
+
+func BenchmarkOfferFinish(b *testing.B) {
+	clock := newTestClock()
+	c := NewController(clock, WithLimits(300, 300, 300))
+	tenants := make([]string, 1000)
+	for i := range tenants {
+		tenants[i] = fmt.Sprint("tenant-", i)
+	}
+	id := uint64(0)
+	for b.Loop() {
+		id++
+		c.Offer(Work{ID: id, Rank: urgentRank, Level: int(id % 128), Tenant: tenants[id%1000], Deadline: testStart.Add(time.Hour)})
+		if id > 400 {
+			c.Finish(id-400, Result{Outcome: toucancall.Answered})
+		}
+	}
+}
+
+func BenchmarkCheckObserve(b *testing.B) {
+	g := NewGate(newTestClock(), rand.New(rand.NewPCG(1, 2)))
+	for b.Loop() {
+		g.Check("ordini", "order", urgentRank, "tenant")
+		g.Observe("ordini", "order", Open)
+	}
+}
--- /dev/null
+++ b/toucanretry/retry_test.go
@@ -0,0 +1,198 @@
+package toucanretry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclock"
+)
+
+func newTestRetrier() (*Retrier, *toucanclock.Manual) {
+	clock := toucanclock.NewManual(time.Unix(1_800_000_000, 0))
+	return NewRetrier(clock, rand.New(rand.NewPCG(1, 2))), clock
+}
+
+// Guards against an allowance that grows when a faulty peer claims to return
+// more than it was lent, or is given an absurd number.
+func TestAllowanceNeverGrows(t *testing.T) {
+	for _, claimed := range []int{-5, 0, 1, 2, 3, 1_000_000} {
+		t.Run(fmt.Sprint(claimed), func(t *testing.T) {
+			is := is.New(t)
+			a := NewAllowance(1_000_000)
+			is.Equal(a.Held(), toucancall.MaxRetries)
+			lent := a.Lend()
+			is.Equal(lent, 2)
+			a.Return(lent, claimed)
+			is.True(a.Held() <= toucancall.MaxRetries)
+			a.Return(lent, claimed) // a second answer to the same loan
+			is.True(a.Held() <= toucancall.MaxRetries)
+		})
+	}
+}
+
+// Guards against a chain in which every level retries with its own allowance.
+func TestAllowanceBoundsWholeChain(t *testing.T) {
+	is := is.New(t)
+	var attempts [9]int
+	var call func(depth int, a *Allowance)
+	call = func(depth int, a *Allowance) {
+		if depth == len(attempts) {
+			return
+		}
+		for {
+			attempts[depth]++
+			lent := a.Lend()
+			child := NewAllowance(lent)
+			call(depth+1, &child)
+			a.Return(lent, child.Held())
+			if !a.Spend() {
+				return
+			}
+		}
+	}
+	a := NewAllowance(toucancall.MaxRetries)
+	call(0, &a)
+	for _, n := range attempts {
+		is.True(n <= 1+toucancall.MaxRetries)
+	}
+}
+
+// Guards against a caller that refills the allowance by repeating its request.
+func TestRepeatDoesNotRefillAllowance(t *testing.T) {
+	is := is.New(t)
+	r, clock := newTestRetrier()
+	a, ok := r.Begin("ordini", "request-1")
+	is.True(ok)
+	_, ok = r.Begin("ordini", "request-1")
+	is.True(!ok) // the first attempt still runs
+	is.True(a.Spend())
+	r.End("request-1", a)
+	attempts := 2
+	for range 10 {
+		if _, ok := r.Begin("ordini", "request-1"); ok {
+			attempts++
+			r.End("request-1", Allowance{held: 3})
+		}
+		clock.Advance(time.Second)
+	}
+	is.Equal(attempts, 1+toucancall.MaxRetries)
+	clock.Advance(idLife)
+	_, ok = r.Begin("ordini", "request-1")
+	is.True(ok)
+}
+
+// Guards against a refusal at the entry that costs the caller its retries.
+func TestWithdrawRestoresAllowance(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRetrier()
+	for range 20 {
+		a, ok := r.Begin("ordini", "request-1")
+		is.True(ok)
+		is.Equal(a.Held(), toucancall.MaxRetries)
+		r.Withdraw("request-1")
+	}
+}
+
+// Guards against unbounded memory under made-up request ids and services.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRetrier()
+	for i := range 2 * maxIDs {
+		r.Begin(fmt.Sprint("service", i), fmt.Sprint("request", i))
+	}
+	is.Equal(len(r.ids), maxIDs)
+	is.Equal(len(r.order), maxIDs)
+	is.Equal(len(r.budgets), maxServices)
+	var w Waste
+	for i := range 10_000 {
+		w.Add(fmt.Sprint("class", i), time.Second, false)
+	}
+	is.True(len(w.classes) <= maxWasteClasses+1)
+}
+
+func TestNext(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	base := Attempt{
+		Service: "ordini", Number: 1, Outcome: toucancall.NotRun, Reason: toucancall.ReasonConnect,
+		Deadline: start.Add(time.Second),
+	}
+	tests := []struct {
+		name   string
+		change func(*Attempt)
+		want   bool
+	}{
+		{"not_run", func(*Attempt) {}, true},
+		{"overload", func(t *Attempt) { t.Reason = toucancall.ReasonOverload }, true},
+		{"tenant_share", func(t *Attempt) { t.Reason = toucancall.ReasonTenantShare }, false},
+		{"unknown_at_most_once", func(t *Attempt) { t.Outcome = toucancall.Unknown }, false},
+		{"unknown_safe", func(t *Attempt) { t.Outcome, t.SafeToRepeat = toucancall.Unknown, true }, true},
+		{"answered", func(t *Attempt) { t.Outcome, t.SafeToRepeat = toucancall.Answered, true }, false},
+		{"deadline_near", func(t *Attempt) { t.Deadline = start.Add(time.Millisecond) }, false},
+		{"cancelled", func(t *Attempt) { t.Reason = toucancall.ReasonCancelled }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r, _ := newTestRetrier()
+			a := NewAllowance(3)
+			attempt := base
+			tt.change(&attempt)
+			delay, ok := r.Next(&a, attempt)
+			is.Equal(ok, tt.want)
+			if ok {
+				is.True(delay > 0 && delay <= baseDelay)
+				is.Equal(a.Held(), 2)
+			}
+		})
+	}
+}
+
+// Guards against a retry storm at one service: 10% of its requests, burst of 10.
+func TestServiceBudget(t *testing.T) {
+	is := is.New(t)
+	r, clock := newTestRetrier()
+	retries := 0
+	for i := range 1000 {
+		a, _ := r.Begin("ordini", fmt.Sprint(i))
+		if _, ok := r.Next(&a, Attempt{
+			Service: "ordini", Number: 1, Outcome: toucancall.NotRun, Deadline: clock.Now().Add(time.Second),
+		}); ok {
+			retries++
+		}
+	}
+	is.True(retries >= 100 && retries <= 110)
+}
+
+// Guards against callers and retries that return together after an outage.
+func TestDelaysSpread(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRetrier()
+	buckets := map[time.Duration]int{}
+	for range 1000 {
+		buckets[r.RetryAfter()/(100*time.Millisecond)]++
+		d := r.delay(100)
+		is.True(d > 0 && d <= maxDelay)
+	}
+	for _, n := range buckets {
+		is.True(n < 100)
+	}
+}
+
+func BenchmarkBeginNextEnd(b *testing.B) {
+	r, clock := newTestRetrier()
+	ids := make([]string, 1<<17)
+	for i := range ids {
+		ids[i] = fmt.Sprint("request-", i)
+	}
+	for i := 0; b.Loop(); i++ {
+		id := ids[i%len(ids)]
+		a, _ := r.Begin("ordini", id)
+		r.Next(&a, Attempt{Service: "ordini", Number: 1, Outcome: toucancall.NotRun, Deadline: clock.Now().Add(time.Second)})
+		r.End(id, a)
+	}
+}
