--- a/toucanadmission/shed.go
+++ b/toucanadmission/shed.go
@@ -70,7 +70,6 @@
 type shedder struct {
 	policy Policy
 	ranks  []*rankUse // ordered, most urgent first
-	next   time.Time
 
 	budget float64 // admitted calls a second; +Inf when there is no overload
 
