--- a/toucanonce/history_test.go
+++ b/toucanonce/history_test.go
@@ -636,19 +636,21 @@
 			w.t.Errorf("%v ran as %q, a caller got %q", in.subject, bodies, out.body)
 		}
 	}
-	attempts := make(map[string]int)
-	for _, c := range w.calls {
-		attempts[c.subject.text]++
-	}
+	forwarded := make(map[string]bool) // keys of which some attempt may have been forwarded
 	for _, c := range w.calls {
 		if !c.finished {
 			w.t.Errorf("call of %v did not end: %T", c.subject, c.effect)
 		}
+		if c.reason != toucancall.ReasonNotForwarded {
+			forwarded[c.subject.text] = true
+		}
+	}
+	for _, c := range w.calls {
 		// The caller library turns this into not_run.
-		if c.reason == toucancall.ReasonNotForwarded && attempts[c.subject.text] == 1 {
-			w.seen["only attempt not_forwarded"]++
+		if !forwarded[c.subject.text] {
+			w.seen["every attempt not_forwarded"]++
 			if len(ran[c.subject]) > 0 {
-				w.t.Errorf("%v ran, its only attempt ended not_forwarded", c.subject)
+				w.t.Errorf("%v ran, its attempts ended not_forwarded", c.subject)
 			}
 		}
 	}
@@ -690,7 +692,7 @@
 	for _, event := range slices.Sorted(maps.Keys(seen)) {
 		t.Logf("%s: %d", event, seen[event])
 	}
-	for _, event := range []string{"answered", "not_run", "unknown", "joined", "repeated", "claim lapsed", "kv reply lost", "only attempt not_forwarded"} {
+	for _, event := range []string{"answered", "not_run", "unknown", "joined", "repeated", "claim lapsed", "kv reply lost", "every attempt not_forwarded"} {
 		if seen[event] == 0 {
 			t.Errorf("the schedules never reached %q", event)
 		}
--- a/toucanonce/home.go
+++ b/toucanonce/home.go
@@ -28,6 +28,11 @@
 	// answerOverhead is charged for the map entry and bookkeeping of a remembered
 	// answer, so that many empty answers stay inside the budget too.
 	answerOverhead = 256
+	// headerOverhead and fieldOverhead cover the map and the slices of an answer's
+	// header. Without them a budget held 1.6 times its bytes (909 B measured for
+	// 554 B charged, four fields).
+	headerOverhead = 384
+	fieldOverhead  = 64
 	// maxAnswerShare keeps one large answer from evicting all others.
 	maxAnswerShare = 8
 )
@@ -44,8 +49,11 @@
 
 func (a Answer) size() int {
 	size := answerOverhead + len(a.Body)
+	if len(a.Header) > 0 {
+		size += headerOverhead
+	}
 	for name, values := range a.Header {
-		size += len(name)
+		size += fieldOverhead + len(name)
 		for _, value := range values {
 			size += len(value)
 		}
