--- a/toucanonce/once_test.go
+++ b/toucanonce/once_test.go
@@ -288,3 +288,11 @@
 	_, _, ok = l.Bind("q", keys[1], Stamp(SessionUse)+1)
 	is.True(!ok)
 }
+
+// Guards against a change of the constants that lets a claim lapse before the
+// issued key expires on clocks that run a quarter slow, as in the history checks.
+func TestClaimsOutliveKeysOnSlowClocks(t *testing.T) {
+	is := is.New(t)
+	is.True((SessionUse+KeyLife)*4/3 <= SessionTTL)
+	is.Equal(SessionTTL-SessionUse-KeyLife, 20*time.Minute) // doc.go and docs/ONCE.md name it
+}
