--- /dev/null
+++ b/cmd/toucanhaven/admin.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"toucanhaven/toucanclass"
+	"toucanhaven/toucanconfig"
+)
+
+const (
+	defaultAdmin = "127.0.0.1:7702"
+	// adminTimeout is longer than a node takes to apply a change, so that the node
+	// reports an unknown result before the command gives up.
+	adminTimeout  = 20 * time.Second
+	maxReplyBytes = 4 << 20
+)
+
+// adminFlags are the flags of the commands that speak to a node.
+type adminFlags struct {
+	address string
+	json    bool
+}
+
+func (a *adminFlags) add(flags *flaggy.Subcommand) {
+	a.address = defaultAdmin
+	flags.String(&a.address, "a", "admin", "admin address of a node")
+	flags.Bool(&a.json, "j", "json", "print the node's answer as JSON")
+}
+
+// documentReply is the answer to a show or an accepted apply.
+type documentReply struct {
+	Service          string    `json:"service"`
+	Revision         uint64    `json:"revision"`
+	PreviousRevision uint64    `json:"previous_revision"`
+	Author           string    `json:"author"`
+	Time             time.Time `json:"time"`
+	ClassFile        string    `json:"class_file"`
+	Source           string    `json:"source"`
+	InForceRevision  uint64    `json:"in_force_revision"`
+}
+
+// errorReply is the answer to everything that failed.
+type errorReply struct {
+	Error    string                `json:"error"`
+	Reason   string                `json:"reason"`
+	Problems []toucanclass.Problem `json:"problems"`
+	Current  *toucanconfig.Change  `json:"current"`
+	Nonce    string                `json:"nonce"`
+}
+
+// call sends a request to the node. It decodes an answer with status 200 into
+// reply, and prints and classifies every other end. A write without an answer
+// has an unknown result unless it was never sent.
+func (a *adminFlags) call(method, path string, body, reply any) (status int) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return fail(exitFailure, "%v", err)
+	}
+	request, err := http.NewRequest(method, "http://"+a.address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return fail(exitUsage, "%v", err)
+	}
+	var sent atomic.Bool
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}))
+	lost := func(err error) int {
+		if method != http.MethodGet && sent.Load() {
+			return fail(exitUnknown, "result unknown, the node's answer was lost: %v", err)
+		}
+		return fail(exitFailure, "%v", err)
+	}
+	client := &http.Client{Timeout: adminTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return lost(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return lost(err)
+	}
+	if a.json {
+		fmt.Printf("%s\n", bytes.TrimSpace(data))
+	}
+	if response.StatusCode != http.StatusOK {
+		return a.report(response.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return lost(err)
+	}
+	return exitOK
+}
+
+// report prints an error answer, on one line for each problem.
+func (a *adminFlags) report(status int, data []byte) int {
+	var m errorReply
+	if json.Unmarshal(data, &m) != nil || m.Error == "" {
+		m = errorReply{Reason: fmt.Sprintf("node answered with status %d: %.200s", status, bytes.TrimSpace(data))}
+	}
+	exit := map[string]int{"invalid": exitUsage, "conflict": exitConflict, "unknown": exitUnknown}[m.Error]
+	if exit == 0 {
+		exit = exitFailure
+	}
+	if a.json {
+		return exit
+	}
+	fail(exit, "%s", m.Reason)
+	if m.Error == "conflict" && m.Current != nil {
+		fmt.Fprintf(os.Stderr, "Read the current class file with show, and apply again with --replaces %d.\n", m.Current.Revision)
+	}
+	return exit
+}
+
+func fail(exit int, format string, args ...any) int {
+	fmt.Fprintf(os.Stderr, "toucanhaven: "+format+"\n", args...)
+	return exit
+}
+
+// readClassFile reads and checks a class file, and prints its problems.
+func readClassFile(name string, asJSON bool) (source []byte, file toucanclass.File, exit int) {
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return nil, file, fail(exitUsage, "%v", err)
+	}
+	file, err = toucanclass.ParseFile(name, source)
+	if err == nil {
+		return source, file, exitOK
+	}
+	var rejected *toucanclass.FileError
+	if asJSON && errors.As(err, &rejected) {
+		printJSON(checkReply{Problems: rejected.Problems})
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	return nil, file, exitUsage
+}
+
+func printJSON(v any) {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetEscapeHTML(false)
+	encoder.Encode(v)
+}
--- a/toucankvtest/faults.go
+++ b/toucankvtest/faults.go
@@ -8,9 +8,10 @@
 
 // faultsMessage is the JSON form of Faults.
 type faultsMessage struct {
-	Down        bool  `json:"down"`
-	DelayMs     int64 `json:"delay_ms"`
-	LoseReplies int   `json:"lose_replies"`
+	Down           bool  `json:"down"`
+	DelayMs        int64 `json:"delay_ms"`
+	LoseReplies    int   `json:"lose_replies"`
+	DownAfterWrite bool  `json:"down_after_write"`
 }
 
 // serveTest serves the paths that set faults and read counters. It works while
@@ -44,12 +45,13 @@
 
 func (m faultsMessage) faults() Faults {
 	return Faults{
-		Down:        m.Down,
-		Delay:       time.Duration(m.DelayMs) * time.Millisecond,
-		LoseReplies: m.LoseReplies,
+		Down:           m.Down,
+		Delay:          time.Duration(m.DelayMs) * time.Millisecond,
+		LoseReplies:    m.LoseReplies,
+		DownAfterWrite: m.DownAfterWrite,
 	}
 }
 
 func messageOf(f Faults) faultsMessage {
-	return faultsMessage{Down: f.Down, DelayMs: f.Delay.Milliseconds(), LoseReplies: f.LoseReplies}
+	return faultsMessage{Down: f.Down, DelayMs: f.Delay.Milliseconds(), LoseReplies: f.LoseReplies, DownAfterWrite: f.DownAfterWrite}
 }
--- a/toucankvtest/server.go
+++ b/toucankvtest/server.go
@@ -30,6 +30,9 @@
 	Down        bool          // connections break, before anything takes effect
 	Delay       time.Duration // added before each request is processed
 	LoseReplies int           // replies of so many writes are lost after they took effect
+	// DownAfterWrite takes the service down after the next write took effect, and
+	// loses its reply.
+	DownAfterWrite bool
 }
 
 // Counters count the calls received; a waiting watch counts as one.
@@ -296,6 +299,11 @@
 // loseReply breaks the connection if a reply is to be lost. The caller holds the
 // lock and has made the change.
 func (s *Server) loseReply() {
+	if s.faults.DownAfterWrite {
+		s.faults.DownAfterWrite, s.faults.Down = false, true
+		s.notify()
+		panic(http.ErrAbortHandler)
+	}
 	if s.faults.LoseReplies > 0 {
 		s.faults.LoseReplies--
 		panic(http.ErrAbortHandler)
