--- a/cmd/toucanhaven/main.go
+++ b/cmd/toucanhaven/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -9,39 +10,55 @@
 	"toucanhaven/toucannode"
 )
 
-// Exit statuses.
+// Exit statuses of all subcommands.
 const (
-	exitOK    = 0
-	exitError = 1
-	exitUsage = 2 // wrong command line or settings
+	exitOK       = 0
+	exitFailure  = 1 // nothing took effect
+	exitUsage    = 2 // bad input, settings or usage
+	exitConflict = 3 // another operator's change came first
+	exitUnknown  = 4 // the change may be in force now or later
 )
 
-// command is one subcommand. Its run function returns the exit status.
+const exitHelp = "Exit status: 0 ok, 1 failure, 2 bad input or usage, 3 conflict, 4 result unknown."
+
+// command is a subcommand with what it runs; run returns the exit status.
 type command struct {
-	sub *flaggy.Subcommand
-	run func() int
+	flags *flaggy.Subcommand
+	run   func() int
 }
 
 func main() { os.Exit(run(os.Args[1:], toucannode.Options{})) }
 
 // run carries out one command line. Tests pass parts for the node.
 func run(args []string, parts toucannode.Options) int {
+	commands := []command{
+		nodeCommand(parts),
+		checkCommand(), applyCommand(), showCommand(), historyCommand(), statusCommand(), drainCommand(),
+	}
 	parser := flaggy.NewParser("toucanhaven")
 	parser.Description = "overload control for service call graphs"
 	parser.Version = "development"
-	parser.ShowCompletion = false
-	commands := []command{nodeCommand(parts)}
+	parser.AdditionalHelpAppend = exitHelp
 	for _, c := range commands {
-		parser.AttachSubcommand(c.sub, 1)
+		parser.AttachSubcommand(c.flags, 1)
 	}
 	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, "toucanhaven:", err)
 		return exitUsage
 	}
 	for _, c := range commands {
-		if c.sub.Used {
+		if c.flags.Used {
 			return c.run()
 		}
 	}
 	parser.ShowHelp()
 	return exitUsage
 }
+
+// newCommand returns the flags of a subcommand with an example in its help.
+func newCommand(name, description, example string) *flaggy.Subcommand {
+	flags := flaggy.NewSubcommand(name)
+	flags.Description = description
+	flags.AdditionalHelpAppend = "Example: toucanhaven " + example + "\n" + exitHelp
+	return flags
+}
--- a/cmd/toucanhaven/node.go
+++ b/cmd/toucanhaven/node.go
@@ -8,8 +8,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/integrii/flaggy"
-
 	"toucanhaven/toucannode"
 	"toucanhaven/toucansettings"
 )
@@ -17,11 +15,10 @@
 // nodeCommand runs the daemon until a signal stops it.
 func nodeCommand(parts toucannode.Options) command {
 	var settingsFile, addressesFile string
-	sub := flaggy.NewSubcommand("node")
-	sub.Description = "run the node beside a backend server"
-	sub.String(&settingsFile, "s", "settings", "file with the settings of the node (TOML)")
-	sub.String(&addressesFile, "a", "addresses", "file to which the node writes the addresses it listens on (JSON)")
-	return command{sub: sub, run: func() int {
+	flags := newCommand("node", "run the node beside a backend server", "node --settings node.toml")
+	flags.String(&settingsFile, "s", "settings", "file with the settings of the node (TOML)")
+	flags.String(&addressesFile, "a", "addresses", "file to which the node writes the addresses it listens on (JSON)")
+	return command{flags: flags, run: func() int {
 		if settingsFile == "" {
 			fmt.Fprintln(os.Stderr, "toucanhaven node: --settings FILE is required")
 			return exitUsage
@@ -35,7 +32,7 @@
 		parts.Logger = toucannode.NewLogger(os.Stderr, settings.LogLevel)
 		if err := runNode(parts, addressesFile); err != nil {
 			fmt.Fprintln(os.Stderr, "toucanhaven node:", err)
-			return exitError
+			return exitFailure
 		}
 		return exitOK
 	}}
