--- a/toucanadmission/controller.go
+++ b/toucanadmission/controller.go
@@ -1,7 +1,6 @@
 package toucanadmission
 
 import (
-	"math"
 	"time"
 
 	"toucanhaven/toucancall"
@@ -86,7 +85,6 @@
 	waiting map[uint64]*waiting
 	queue   queue
 	seq     uint64
-	total   float64 // mean time of a call at the backend server in seconds
 	lastRun time.Time
 }
 
@@ -112,7 +110,7 @@
 	c := &Controller{
 		clock: clock, tenants: newTenantTable(),
 		limiter: newLimiter(defaultMinLimit, defaultMaxLimit, defaultInitialLimit, now),
-		shedder: shedder{policy: Strict{}, budget: math.Inf(1)},
+		shedder: shedder{policy: Strict{}},
 		running: make(map[uint64]running), waiting: make(map[uint64]*waiting), lastRun: now,
 	}
 	for _, option := range options {
@@ -132,7 +130,9 @@
 	if !w.Deadline.IsZero() && !now.Add(c.expected()).Before(w.Deadline) {
 		return Decision{Verdict: Refuse, Level: level, Reason: toucancall.ReasonDeadline}
 	}
-	if level > use.level {
+	// Work has already been spent on a child call, and its senders learn the
+	// threshold with a delay. Only a filling queue refuses it.
+	if level > use.level && (w.Depth == 0 || len(c.queue) > c.queueBound()/2) {
 		return c.refuse(level, use.level >= 0)
 	}
 	if w.Subtree != (Threshold{}) && !w.Subtree.Admits(w.Rank, level) {
@@ -141,7 +141,7 @@
 	c.seq++
 	if len(c.running) < c.limiter.current() && len(c.queue) == 0 {
 		c.start(w.ID, now)
-		c.shedder.observeQueue(0)
+		c.observe()
 		return Decision{Verdict: Start, Level: level}
 	}
 	return c.wait(w, level, use, now)
@@ -193,26 +193,36 @@
 	}
 	c.queue.push(item)
 	c.waiting[w.ID] = item
-	c.shedder.observeQueue(len(c.queue))
+	c.observe()
 	return d
 }
 
 const (
 	// queueTargets is the queue bound in multiples of the delay target.
 	queueTargets  = 4
+	growQueue     = 8 // in multiples of the limit
 	minQueueBound = 8
 	maxQueueBound = 1_024
 )
 
 func (c *Controller) queueBound() int {
 	bound := c.shedder.capacity * c.shedder.delayTarget() * queueTargets
+	if c.limiter.phase == phaseGrow && !c.shedder.active {
+		// The limit is still too low and the queue must hold what comes until
+		// it has grown.
+		bound = max(bound, growQueue*c.limiter.limit)
+	}
 	return int(min(max(bound, minQueueBound), maxQueueBound))
 }
 
+func (c *Controller) observe() {
+	c.shedder.observe(len(c.queue), float64(len(c.running))/float64(max(c.limiter.current(), 1)))
+}
+
 // expected returns a careful estimate of the time that a call needs at the
 // backend server. Half of the mean keeps calls that have a fair chance.
 func (c *Controller) expected() time.Duration {
-	return time.Duration(c.total / 2 * float64(time.Second))
+	return time.Duration(c.shedder.holdMean / 2 * float64(time.Second))
 }
 
 func (c *Controller) start(id uint64, now time.Time) {
@@ -228,7 +238,7 @@
 		return c.Cancel(id)
 	}
 	delete(c.running, id)
-	c.shedder.observeQueue(len(c.queue))
+	c.observe()
 	if r.Outcome == toucancall.NotRun {
 		if r.Reason == toucancall.ReasonBackendRefused {
 			c.limiter.shed(now, len(c.running))
@@ -238,10 +248,12 @@
 	}
 	duration := now.Sub(run.begun)
 	own := max(duration-max(r.ChildTime, 0), 0)
-	c.limiter.sample(run.begun, now, own, run.full)
+	if run.full {
+		c.limiter.sample(run.begun, now, own)
+	}
 	c.shedder.finished++
 	c.shedder.ownSum += own.Seconds()
-	c.total += 0.05 * (duration.Seconds() - c.total)
+	c.shedder.holdSum += duration.Seconds()
 	return c.fill(now)
 }
 
@@ -283,8 +295,7 @@
 // so.
 func (c *Controller) Tick() (effects []Effect) {
 	now := c.clock.Now()
-	c.shedder.observeQueue(len(c.queue))
-	var oldest time.Duration
+	c.observe()
 	kept := c.queue[:0]
 	for _, item := range c.queue {
 		if c.expired(item, now) {
@@ -292,14 +303,15 @@
 			effects = append(effects, Refused{ID: item.id, Reason: toucancall.ReasonDeadline})
 			continue
 		}
-		oldest = max(oldest, now.Sub(item.arrived))
 		kept = append(kept, item)
 	}
 	clear(c.queue[len(kept):])
 	c.queue = kept
 	if elapsed := now.Sub(c.lastRun); elapsed >= controlInterval {
 		c.lastRun = now
-		c.shedder.control(now, elapsed, len(c.running), c.limiter.current(), oldest)
+		c.shedder.control(now, elapsed, state{
+			limit: c.limiter.settled(), growing: c.limiter.phase == phaseGrow,
+		})
 	}
 	return append(effects, c.fill(now)...)
 }
--- a/toucanadmission/gate.go
+++ b/toucanadmission/gate.go
@@ -1,6 +1,7 @@
 package toucanadmission
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,15 +16,16 @@
 	// Three quarters of them must agree before the gate refuses, so one faulty
 	// backend server of several cannot shut off a service.
 	rememberedThresholds = 16
-	minObservations      = 3
+	minObservations      = 5
 	agreeingShare        = 0.75
-	// observationLife bounds the age of observations that decide together.
+	// observationLife bounds the age of observations that decide together,
+	// beyond the newest minObservations.
 	observationLife = time.Second
 	// agingStart is how long the last observation holds unchanged. After that
 	// agingLevels more levels are admitted each agingStep, so that a service
 	// that no call reaches is tried again gently.
-	agingStart  = time.Second
-	agingStep   = 100 * time.Millisecond
+	agingStart  = 300 * time.Millisecond
+	agingStep   = 50 * time.Millisecond
 	agingLevels = 8
 	// maxGates bounds the pairs of service and class tracked.
 	maxGates = 8_192
@@ -141,14 +143,15 @@
 func (s *gateState) agree(now time.Time) {
 	var sorted [rememberedThresholds]Threshold
 	n := 0
-	for _, o := range s.recent[:s.n] {
-		if now.Sub(o.at) <= observationLife {
-			sorted[n] = o.threshold
-			n++
+	for i := range s.n {
+		o := s.recent[(s.next-1-i+rememberedThresholds)%rememberedThresholds]
+		if i >= minObservations && now.Sub(o.at) > observationLife {
+			break
 		}
+		sorted[n] = o.threshold
+		n++
 	}
 	if n < minObservations {
-		s.agreed = Open
 		return
 	}
 	slices.SortFunc(sorted[:n], func(a, b Threshold) int {
@@ -160,7 +163,7 @@
 		}
 		return 0
 	})
-	s.agreed = sorted[int(agreeingShare*float64(n-1))]
+	s.agreed = sorted[min(int(math.Ceil(agreeingShare*float64(n))), n-1)]
 }
 
 // threshold returns the agreed threshold for a rank, aged.
--- a/toucanadmission/limit.go
+++ b/toucanadmission/limit.go
@@ -1,9 +1,6 @@
 package toucanadmission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	defaultMinLimit     = 2
@@ -11,7 +8,7 @@
 	defaultInitialLimit = 20
 	// growFactor is the step while no knee has been found yet; upFactor and
 	// downFactor are the steps of a probe.
-	growFactor = 1.5
+	growFactor = 2
 	upFactor   = 1.25
 	downFactor = 0.8
 	// upTolerance and downGain are the middle between "own time does not
@@ -20,15 +17,15 @@
 	// both directions and the next probe undoes it.
 	upTolerance = 1.11
 	downGain    = 0.9
-	// A window ends after samplesPerSlot finished calls for each slot of the
-	// limit, within minSamples and maxSamples. With 200 samples the mean of
-	// exponential service times has a standard error of 7%.
-	samplesPerSlot = 4
-	minSamples     = 200
-	maxSamples     = 800
-	// saturatedShare is the part of a window's calls that must have run at the
-	// full limit. Other windows say nothing about the limit.
-	saturatedShare = 0.8
+	// A window collects calls that started while the limit was reached, until
+	// the standard error of their mean own time is windowError, within
+	// minSamples and maxSamples. Growth can afford a wrong step and uses fewer.
+	windowError = 0.035
+	minSamples  = 60
+	maxSamples  = 800
+	growSamples = 40
+	// maxWindow ends a comparison that gets too few samples to be current.
+	maxWindow = 3 * time.Second
 	// probePause is the time between probes.
 	probePause = time.Second
 	// shedFactor lowers the limit below the number of calls that ran when the
@@ -58,8 +55,9 @@
 	phase    limitPhase
 
 	started time.Time // of the current window
-	n, full int
+	n       int
 	sum     float64 // seconds of own time
+	squares float64 // of own times
 
 	before    float64 // mean own time of the window before the probe
 	beforeAt  float64 // limit of that window
@@ -79,42 +77,61 @@
 
 func (l *limiter) current() int { return int(l.limit) }
 
-// sample adds one finished call. full says that the call ran while the limit
-// was reached.
-func (l *limiter) sample(begun, now time.Time, own time.Duration, full bool) {
+// settled returns the limit without the step of a probe under way.
+func (l *limiter) settled() int {
+	if l.phase == phaseProbe {
+		return int(l.beforeAt)
+	}
+	return l.current()
+}
+
+// sample adds one finished call that started while the limit was reached.
+func (l *limiter) sample(begun, now time.Time, own time.Duration) {
 	if begun.Before(l.started) {
 		return // it ran partly under the limit of an earlier window
 	}
+	if now.Sub(l.started) > maxWindow {
+		l.abandon()
+		l.startWindow(now)
+		return
+	}
 	l.n++
 	l.sum += own.Seconds()
-	if full {
-		l.full++
-	}
-	if l.n >= min(max(samplesPerSlot*l.current(), minSamples), maxSamples) {
+	l.squares += own.Seconds() * own.Seconds()
+	if l.n >= l.samples() {
 		l.endWindow(now)
 	}
 }
 
+// samples returns how many samples the current window needs.
+func (l *limiter) samples() int {
+	if l.phase == phaseGrow {
+		return max(l.current(), growSamples)
+	}
+	mean := l.sum / float64(l.n)
+	variance := max(l.squares/float64(l.n)-mean*mean, 0)
+	needed := variance / (mean * mean * windowError * windowError)
+	return int(min(max(needed, minSamples), maxSamples))
+}
+
 func (l *limiter) endWindow(now time.Time) {
-	mean, saturated := l.sum/float64(l.n), float64(l.full) >= saturatedShare*float64(l.n)
-	switch {
-	case !saturated:
-		l.abandon()
-	case l.phase == phaseGrow:
+	mean := l.sum / float64(l.n)
+	switch l.phase {
+	case phaseGrow:
 		l.grow(mean, now)
-	case l.phase == phaseHold:
+	case phaseHold:
 		l.hold(mean, now)
-	case l.phase == phaseProbe:
+	case phaseProbe:
 		l.probed = mean
 		l.set(l.beforeAt)
 		l.phase = phaseCheck
-	case l.phase == phaseCheck:
+	case phaseCheck:
 		l.judge(mean, now)
 	}
 	l.startWindow(now)
 }
 
-// abandon gives up a comparison because the limit was not reached.
+// abandon gives up a comparison because the limit was reached too rarely.
 func (l *limiter) abandon() {
 	switch l.phase {
 	case phaseGrow:
@@ -131,8 +148,8 @@
 	// Own time that rises by more than half of the step in the limit means
 	// that the step added waiting rather than throughput.
 	if l.before > 0 && mean > l.before*(1+0.5*(l.limit/l.beforeAt-1)) {
-		l.set(l.beforeAt * math.Sqrt(l.limit/l.beforeAt))
-		l.phase, l.probeNext = phaseHold, now.Add(probePause)
+		l.set(l.beforeAt)
+		l.phase, l.probeUp, l.probeNext = phaseHold, true, now.Add(probePause)
 		return
 	}
 	l.before, l.beforeAt = mean, l.limit
@@ -160,11 +177,13 @@
 	if l.probeUp {
 		bound = upTolerance
 	}
+	l.phase = phaseHold
 	if l.probed < reference*bound {
+		// A step that helped is followed by another one at once.
 		l.set(l.probeAt)
+		return
 	}
-	l.probeUp = !l.probeUp
-	l.phase, l.probeNext = phaseHold, now.Add(probePause)
+	l.probeUp, l.probeNext = !l.probeUp, now.Add(probePause)
 }
 
 // shed lowers the limit because the backend server refused a call while
@@ -182,5 +201,5 @@
 func (l *limiter) set(limit float64) { l.limit = min(max(limit, l.min), l.max) }
 
 func (l *limiter) startWindow(now time.Time) {
-	l.started, l.n, l.full, l.sum = now, 0, 0, 0
+	l.started, l.n, l.sum, l.squares = now, 0, 0, 0
 }
--- a/toucanadmission/shed.go
+++ b/toucanadmission/shed.go
@@ -1,7 +1,6 @@
 package toucanadmission
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -10,24 +9,38 @@
 )
 
 const (
+	// growGrace is how long a queue is tolerated while the limit grows.
+	growGrace = 300 * time.Millisecond
 	// controlInterval is the time between two settings of the threshold.
 	controlInterval = 100 * time.Millisecond
 	// minDelayTarget is the queueing delay that is always accepted; longer
 	// service times accept delayShare of a service time, because a queue
 	// shorter than that would leave slots empty between two calls.
 	minDelayTarget = 5 * time.Millisecond
-	maxDelayTarget = 100 * time.Millisecond
+	maxDelayTarget = 25 * time.Millisecond
 	delayShare     = 0.25
 	// rateWeight smooths measured rates from interval to interval.
 	rateWeight = 0.3
-	// hiddenDecay ages the rates of levels that the threshold hides from this
-	// node, because entries no longer send them.
-	hiddenDecay = 0.98
-	// creep and rush raise the admitted rate for each interval without
-	// overload: slowly near full use, fast when much capacity is idle.
-	creep     = 1.02
-	rush      = 1.3
-	rushBelow = 0.7
+	// Rates of levels that the threshold hides from this node are remembered,
+	// because entries no longer send them. They age slowly at full use and the
+	// faster the more capacity is idle, because then the hidden demand is
+	// overestimated. seenDecay ages them once the level is admitted again.
+	busyDecay = 0.99
+	idleDecay = 0.8
+	seenDecay = 0.8
+	busyUse   = 0.95
+	idleUse   = 0.6
+	// The threshold rises by at most riseBusy levels an interval at full use,
+	// because the demand behind it is known only from memory, and by up to
+	// riseIdle more when capacity is idle.
+	riseBusy = 2
+	riseIdle = 128
+	// The admitted rate is the estimated capacity (limit over mean time of a
+	// call) times a gain, which falls while the queueing delay is over its
+	// target and rises while it is under it.
+	minGain  = 0.6
+	maxGain  = 1.25
+	gainStep = 0.05
 	// maxRanks bounds the ranks tracked apart.
 	maxRanks = 64
 	// rankIdle is how long a rank without calls is kept.
@@ -39,48 +52,72 @@
 // rankUse is the measured demand of one rank at this node.
 type rankUse struct {
 	rank       toucanclass.Rank
-	rates      [allLevels]float64 // calls a second offered at each level
+	rates      [allLevels]float64 // calls a second that arrive at each level
+	hidden     [allLevels]float64 // remembered from before the level was hidden
 	counts     [allLevels]int     // in the current interval
 	last       time.Time
 	level      int // last level admitted, -1 when none
+	before     int // level of the interval before
 	guaranteed int // last level inside the guaranteed part, -1 when none
 }
 
-// total returns the offered rate of all levels.
+// demand returns the estimated offered rate of a level.
+func (u *rankUse) demand(i int) float64 { return max(u.rates[i], u.hidden[i]) }
+
+// total returns the estimated offered rate of all levels.
 func (u *rankUse) total() (sum float64) {
-	for _, r := range u.rates {
-		sum += r
+	for i := range u.rates {
+		sum += u.demand(i)
 	}
 	return sum
 }
 
-// levelFor returns the last level at which the rates up to it fit into budget,
-// and the part of the budget used.
+// levelFor returns the last level at which the demand up to it fits into
+// budget, and the part of the budget used.
 func (u *rankUse) levelFor(budget float64) (level int, used float64) {
-	for i, r := range u.rates {
-		if used+r > budget {
+	if budget <= 0 {
+		return -1, 0
+	}
+	for i := range u.rates {
+		d := u.demand(i)
+		if used+d > budget {
 			return i - 1, used
 		}
-		used += r
+		used += d
 	}
 	return toucancall.MaxLevel, used
 }
 
+// hide remembers the rates of the levels that are no longer admitted.
+func (u *rankUse) hide() {
+	for i := u.level + 1; i <= u.before; i++ {
+		u.hidden[i] = max(u.hidden[i], u.rates[i])
+	}
+}
+
 // shedder sets the threshold of each rank from the queueing delay.
 type shedder struct {
 	policy Policy
 	ranks  []*rankUse // ordered, most urgent first
 
-	budget float64 // admitted calls a second; +Inf when there is no overload
+	active bool    // whether any call is shed by the threshold
+	gain   float64 // see minGain
+	budget float64 // admitted calls a second
 
 	finished   int
 	ownSum     float64
+	holdSum    float64
 	queueSum   float64
+	useSum     float64
 	queueCount int
 	overflowed bool
 
-	capacity float64 // finished calls a second, smoothed
-	ownMean  float64 // seconds
+	overloadedFor time.Duration // while the limit grows
+
+	idle     float64 // 0 at full use, 1 when much capacity is idle
+	ownMean  float64 // own seconds of a call
+	holdMean float64 // seconds of a call at the backend server
+	capacity float64 // calls a second that the backend server can finish
 }
 
 // use returns the entry of a rank. When the table is full the next less urgent
@@ -102,73 +139,91 @@
 		return s.ranks[min(i, len(s.ranks)-1)]
 	}
 	u := &rankUse{rank: r, last: now, level: toucancall.MaxLevel, guaranteed: -1}
-	if !math.IsInf(s.budget, 1) && i > 0 && s.ranks[i-1].level < toucancall.MaxLevel {
+	if s.active && i > 0 && s.ranks[i-1].level < toucancall.MaxLevel {
 		u.level = -1
 	}
 	s.ranks = slices.Insert(s.ranks, i, u)
 	return u
 }
 
-// observeQueue adds one sample of the queue length.
-func (s *shedder) observeQueue(n int) {
-	s.queueSum += float64(n)
+// observe adds one sample of the queue length and of the used part of the limit.
+func (s *shedder) observe(queued int, use float64) {
+	s.queueSum += float64(queued)
+	s.useSum += use
 	s.queueCount++
 }
 
-// control sets budget and thresholds at the end of an interval.
-func (s *shedder) control(now time.Time, elapsed time.Duration, running, limit int, oldest time.Duration) {
-	seconds := elapsed.Seconds()
-	s.measure(now, seconds)
-	delay := s.delay(oldest)
-	target := s.delayTarget()
+// state is what the controller tells the shedder at the end of an interval.
+type state struct {
+	limit   int
+	growing bool // the limit is not known yet
+}
+
+// control sets the admitted rate and the thresholds at the end of an interval.
+func (s *shedder) control(now time.Time, elapsed time.Duration, st state) {
+	s.measure(now, elapsed.Seconds(), st)
+	delay, target := s.delay(), s.delayTarget()
+	overloaded := delay > target || s.overflowed
+	s.overflowed = false
 	switch {
-	case delay > target || s.overflowed:
-		// The rate that finished in this interval is what can be admitted,
-		// less a part that lets the queue shrink.
-		cut := min(max(target/max(delay, 1e-9), 0.7), 0.97)
-		s.budget = min(s.budget, s.capacity) * cut
-		s.budget = max(s.budget, 0.5*s.capacity)
-	case math.IsInf(s.budget, 1):
-	case float64(running) < rushBelow*float64(limit):
-		s.budget *= rush
+	case !s.active && !overloaded:
+		s.overloadedFor = 0
+		return
+	case st.growing && s.overloadedFor < growGrace:
+		// A short queue may say only that the limit is still too low.
+		s.overloadedFor += elapsed
+		return
+	case !s.active:
+		s.active, s.gain = true, 1
+	case overloaded:
+		s.gain -= gainStep * min(max(delay/target-1, 0.1), 1)
 	default:
-		s.budget *= creep
+		s.gain += gainStep * (1 - delay/target)
 	}
-	s.overflowed = false
-	s.setLevels(now)
+	s.gain = min(max(s.gain, minGain), maxGain)
+	s.budget = s.capacity * s.gain
+	s.setLevels(overloaded)
 }
 
-func (s *shedder) measure(now time.Time, seconds float64) {
-	s.capacity += rateWeight * (float64(s.finished)/seconds - s.capacity)
+func (s *shedder) measure(now time.Time, seconds float64, st state) {
 	if s.finished > 0 {
-		s.ownMean += rateWeight * (s.ownSum/float64(s.finished) - s.ownMean)
+		n := float64(s.finished)
+		s.ownMean += rateWeight * (s.ownSum/n - s.ownMean)
+		s.holdMean += rateWeight * (s.holdSum/n - s.holdMean)
+		s.finished, s.ownSum, s.holdSum = 0, 0, 0
+	}
+	s.capacity = float64(st.limit) / max(s.holdMean, minHold)
+	use := 0.0
+	if s.queueCount > 0 {
+		use = s.useSum / float64(s.queueCount)
 	}
-	s.finished, s.ownSum = 0, 0
+	s.useSum = 0
+	s.idle = min(max((busyUse-use)/(busyUse-idleUse), 0), 1)
+	decay := busyDecay + s.idle*(idleDecay-busyDecay)
 	for _, u := range s.ranks {
 		for i := range u.rates {
-			rate := float64(u.counts[i]) / seconds
-			if i <= u.level {
-				u.rates[i] += rateWeight * (rate - u.rates[i])
+			u.rates[i] += rateWeight * (float64(u.counts[i])/seconds - u.rates[i])
+			u.counts[i] = 0
+			if i > u.level {
+				u.hidden[i] *= decay
 			} else {
-				u.rates[i] = max(u.rates[i]*hiddenDecay, rate)
+				u.hidden[i] *= seenDecay
 			}
-			u.counts[i] = 0
 		}
 	}
 	s.ranks = slices.DeleteFunc(s.ranks, func(u *rankUse) bool { return now.Sub(u.last) > rankIdle })
 }
 
-// delay returns the mean queueing delay in seconds by Little's law, or the age
-// of the oldest queued call when nothing finished.
-func (s *shedder) delay(oldest time.Duration) float64 {
+// minHold keeps the estimated capacity finite.
+const minHold = 1e-5
+
+// delay returns the mean queueing delay in seconds by Little's law.
+func (s *shedder) delay() float64 {
 	if s.queueCount == 0 {
 		return 0
 	}
 	mean := s.queueSum / float64(s.queueCount)
 	s.queueSum, s.queueCount = 0, 0
-	if s.capacity < 1 {
-		return oldest.Seconds()
-	}
 	return mean / s.capacity
 }
 
@@ -176,23 +231,29 @@
 	return min(max(delayShare*s.ownMean, minDelayTarget.Seconds()), maxDelayTarget.Seconds())
 }
 
-// setLevels divides the budget among the ranks.
-func (s *shedder) setLevels(now time.Time) {
-	if math.IsInf(s.budget, 1) {
-		return
-	}
+// setLevels divides the budget among the ranks, or opens the threshold when
+// the demand fits, and lets levels rise only step by step.
+func (s *shedder) setLevels(overloaded bool) {
 	demand := 0.0
 	for _, u := range s.ranks {
 		demand += u.total()
+		u.before = u.level
 	}
-	if demand*openMargin <= s.budget && s.budget > s.capacity {
-		s.budget = math.Inf(1)
+	if !overloaded && demand*openMargin <= s.budget {
 		for _, u := range s.ranks {
 			u.level, u.guaranteed = toucancall.MaxLevel, -1
 		}
-		return
+	} else {
+		s.policy.divide(s.budget, s.ranks)
+	}
+	rise := riseBusy + int(riseIdle*s.idle*s.idle)
+	s.active = false
+	for _, u := range s.ranks {
+		u.level = min(u.level, u.before+rise)
+		rise -= max(u.level-u.before, 0)
+		u.hide()
+		s.active = s.active || u.level < toucancall.MaxLevel
 	}
-	s.policy.divide(s.budget, s.ranks)
 }
 
 // openMargin is how far the budget must exceed the demand before the threshold
@@ -259,7 +320,7 @@
 	for _, u := range ranks {
 		reserved := 0.0
 		for i := 0; i <= u.guaranteed; i++ {
-			reserved += u.rates[i]
+			reserved += u.demand(i)
 		}
 		var used float64
 		u.level, used = u.levelFor(max(left, 0) + reserved)
