toucannode: run the learned policies, membership and configuration

Cause: the node carried calls with plain stand-in policies and knew only the backend servers of its own process. Change: admission, gate, balance and retries run the decision packages; membership and class files come from toucanmember and toucanconfig over net/rpc and the KV. A call of a service whose class file is not known yet is refused as not run, because nobody can tell whether it may run more than once.

--- a/toucannode/admin.go
+++ b/toucannode/admin.go
@@ -35,8 +35,10 @@
 	BackendDown    bool      `json:"backend_down"`
 	Leaving        bool      `json:"leaving"`
 	RunsInFlight   int       `json:"runs_in_flight"`
-	Threshold      string    `json:"threshold"`
-	Load           int       `json:"load"`
+	Limit          int       `json:"concurrency_limit"`
+	Running        int       `json:"running"`
+	Queued         int       `json:"queued"`
+	Load           float64   `json:"load"`
 	Started        time.Time `json:"started"`
 }
 
@@ -129,7 +131,8 @@
 	s.ID, s.Incarnation, s.Started = n.id, n.incarnation, time.Unix(0, n.incarnation)
 	s.CallerAddress, s.PeerAddress, s.AdminAddress = n.addresses.Caller, n.addresses.Peer, n.addresses.Admin
 	s.DataCentre, s.Region = n.settings.DataCentre, n.settings.Region
-	s.Threshold, s.Load = n.admission.Threshold().String(), n.admission.Load()
+	a := n.admission.Status()
+	s.Limit, s.Running, s.Queued, s.Load = a.Limit, a.Running, a.Queued, float64(n.admission.Load())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s) // a client that left needs no status
 }
--- /dev/null
+++ b/toucannode/balance.go
@@ -0,0 +1,94 @@
+package toucannode
+
+import (
+	"sync"
+
+	"toucanhaven/toucanbalance"
+	"toucanhaven/toucanclock"
+)
+
+// balancedChooser keeps a toucanbalance.Picker for each service called.
+type balancedChooser struct {
+	clock      toucanclock.Clock
+	nodeID     string
+	dataCentre string
+	// resized is told over how many backend servers calls to a service spread.
+	resized func(service string, servers int)
+
+	mu      sync.Mutex
+	pickers map[string]*servicePicker
+}
+
+// servicePicker is the picker of one service with the view it was given.
+type servicePicker struct {
+	mu     sync.Mutex
+	picker *toucanbalance.Picker
+	view   []BackendServer
+}
+
+func (b *balancedChooser) service(name string) *servicePicker {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pickers[name]
+	if p == nil {
+		p = &servicePicker{picker: toucanbalance.New(b.clock, newRandom(), b.nodeID, b.dataCentre)}
+		if b.pickers == nil {
+			b.pickers = map[string]*servicePicker{}
+		}
+		b.pickers[name] = p
+	}
+	return p
+}
+
+// Choose picks a backend server. A service without any is not remembered, so
+// made-up service names take no memory.
+func (b *balancedChooser) Choose(service string, servers []BackendServer, tried []string) (BackendServer, bool) {
+	if len(servers) == 0 {
+		return BackendServer{}, false
+	}
+	p := b.service(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !sameSlice(p.view, servers) {
+		p.view = servers
+		p.picker.Update(balanceServers(servers))
+		b.resized(service, min(len(servers), toucanbalance.DefaultSubset))
+	}
+	chosen, ok := p.picker.Pick(tried...)
+	if !ok {
+		return BackendServer{}, false
+	}
+	p.picker.Start(chosen.ID)
+	return BackendServer{
+		NodeID: chosen.ID, Incarnation: chosen.Incarnation, PeerAddress: chosen.PeerAddress,
+		DataCentre: chosen.DataCentre, State: ServerState(chosen.State),
+	}, true
+}
+
+// sameSlice reports whether two views are one slice. A directory returns the
+// same slice until something changes.
+func sameSlice(a, b []BackendServer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func balanceServers(servers []BackendServer) []toucanbalance.Server {
+	list := make([]toucanbalance.Server, len(servers))
+	for i, s := range servers {
+		list[i] = toucanbalance.Server{
+			ID: s.NodeID, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress,
+			DataCentre: s.DataCentre, State: toucanbalance.State(s.State),
+		}
+	}
+	return list
+}
+
+// Done ends an attempt that Choose began.
+func (b *balancedChooser) Done(service, nodeID string, a Attempt) {
+	p := b.service(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.picker.Done(nodeID, toucanbalance.Result{
+		Latency: a.Latency, Target: a.Target, Outcome: a.Outcome, Reason: a.Reason, Status: a.Status,
+		Load: float64(a.Load), LoadKnown: a.LoadKnown,
+	})
+}
--- a/toucannode/defaults.go
+++ b/toucannode/defaults.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
@@ -18,7 +16,7 @@
 }
 
 // BackendServers returns the backend servers of a service.
-func (d *MemoryDirectory) BackendServers(service string) []BackendServer {
+func (d *MemoryDirectory) BackendServers(_ context.Context, service string) []BackendServer {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.servers[service]
@@ -29,6 +27,10 @@
 	d.update(service, nodeID, func(s *BackendServer) { s.State = ServerLeaving })
 }
 
+// MarkUnreachable does nothing: inside one process a node that was unreachable
+// has stopped and is marked leaving.
+func (*MemoryDirectory) MarkUnreachable(string, string) {}
+
 // Announce adds or replaces a backend server.
 func (d *MemoryDirectory) Announce(service string, self BackendServer) {
 	d.update(service, self.NodeID, func(s *BackendServer) { *s = self })
@@ -73,80 +75,14 @@
 }
 
 // ClassFile returns the file of a service; its revision is always 0.
-func (m *MemoryClassFiles) ClassFile(service string) (toucanclass.File, uint64) {
+func (m *MemoryClassFiles) ClassFile(_ context.Context, service string) (toucanclass.File, uint64, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.files[service], 0
+	return m.files[service], 0, nil
 }
 
 // Observe does nothing: there is no later revision to fetch.
-func (*MemoryClassFiles) Observe(string, uint64) {}
-
-// openAdmission starts every call at once.
-type openAdmission struct{}
-
-func (openAdmission) Admit(context.Context, toucancall.Call) (Slot, toucancall.Reason) {
-	return openAdmission{}, ""
-}
-func (openAdmission) Release(RunResult)    {}
-func (openAdmission) Threshold() Threshold { return OpenThreshold }
-func (openAdmission) Load() int            { return 0 }
-
-// openGate refuses nothing.
-type openGate struct{}
-
-func (openGate) Check(c toucancall.Call, _ bool) (int, toucancall.Reason) { return c.Level, "" }
-func (openGate) Observe(string, string, Threshold)                        {}
-
-// randomChooser picks any server that takes calls.
-type randomChooser struct{}
-
-func (randomChooser) Choose(_ string, servers []BackendServer, tried []string) (BackendServer, bool) {
-	start := 0
-	if len(servers) > 0 {
-		start = rand.IntN(len(servers))
-	}
-	for i := range servers {
-		s := servers[(start+i)%len(servers)]
-		if s.State == ServerAlive && !slices.Contains(tried, s.NodeID) {
-			return s, true
-		}
-	}
-	return BackendServer{}, false
-}
-
-func (randomChooser) Done(string, string, Attempt) {}
-
-// fixedRetries gives each request the full allowance and retries at once.
-type fixedRetries struct{}
-
-func (fixedRetries) Root(toucancall.Call) Allowance {
-	return &fixedAllowance{held: toucancall.MaxRetries}
-}
-
-func (fixedRetries) Child(c toucancall.Call) Allowance {
-	return &fixedAllowance{held: c.Retries}
-}
-
-// fixedAllowance is used by one goroutine.
-type fixedAllowance struct{ held int }
-
-func (a *fixedAllowance) Lend() int {
-	part := half(a.held)
-	a.held -= part
-	return part
-}
-
-func (a *fixedAllowance) Return(left int) { a.held += left }
-func (a *fixedAllowance) Left() int       { return a.held }
-
-func (a *fixedAllowance) Retry() (time.Duration, bool) {
-	if a.held == 0 {
-		return 0, false
-	}
-	a.held--
-	return 0, true
-}
+func (*MemoryClassFiles) Observe(string, string, uint64) {}
 
 // half is the part of an allowance that is lent, rounded up.
 func half(held int) int { return (held + 1) / 2 }
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
 )
@@ -21,7 +22,8 @@
 	parent    *parent // nil for a request of a plain caller
 	allowance Allowance
 	once      bool // at most one run is allowed
-	threshold Threshold
+	threshold toucanadmission.Threshold
+	class     toucanclass.Class // of this call in the class file of its service
 }
 
 // serveCaller takes a request of a caller, or a child call of the local backend
@@ -32,12 +34,15 @@
 		return
 	}
 	start := n.clock.Now()
-	e := &entry{n: n, in: &inbound{r: r, w: w}, threshold: OpenThreshold}
+	e := &entry{n: n, in: &inbound{r: r, w: w}, threshold: toucanadmission.Open}
 	ctx, end, rep := e.identify(start)
 	if rep == nil {
 		rep = e.serve(ctx)
 	}
 	end(rep)
+	if e.allowance != nil {
+		e.allowance.End()
+	}
 	outcome, known := toucancall.Answered, e.call.Service != ""
 	if r := rep.refusal; r != nil {
 		outcome, known = r.Outcome, known && r.Reason != toucancall.ReasonNoBackend
@@ -60,18 +65,22 @@
 		}
 		return ctx, end, notRun(toucancall.ReasonBadRequest, err.Error())
 	}
-	class := e.class(call)
-	e.once = class.AtMostOnce
 	if r.Method == http.MethodConnect {
 		return ctx, end, notRun(toucancall.ReasonBadRequest, "method CONNECT is not supported")
 	}
+	if rep := e.findClass(ctx, call); rep != nil {
+		return ctx, end, rep
+	}
 	token := r.Header.Get(toucancall.HeaderParent)
 	if token == "" {
 		if call.RequestID == "" {
 			call.RequestID = newToken()
 		}
-		e.call = call.WithClass(class)
-		e.allowance = e.n.retries.Root(e.call)
+		e.call = call.WithClass(e.class)
+		var ok bool
+		if e.allowance, ok = e.n.retries.Root(e.call); !ok {
+			return ctx, end, e.refuse(ctx, notRun(toucancall.ReasonOverload, "the retry allowance of this request is used up"))
+		}
 		return ctx, end, nil
 	}
 	if e.parent = e.n.parents.get(token); e.parent == nil {
@@ -119,10 +128,26 @@
 	return ctx, end, nil
 }
 
-// class finds the class of the request in the class file of the service called.
-func (e *entry) class(c toucancall.Call) toucanclass.Class {
-	file, _ := e.n.files.ClassFile(c.Service)
-	return file.Match(e.in.r.Method, e.in.r.URL.Path)
+// findClass finds the class of the request in the class file of the service
+// called. A service without backend servers has none to ask, and until the class
+// file is known nobody can tell whether the request may run more than once.
+func (e *entry) findClass(ctx context.Context, c toucancall.Call) *reply {
+	reason, detail := toucancall.ReasonNoBackend, "no backend server of the service is known"
+	if len(e.n.directory.BackendServers(ctx, c.Service)) > 0 {
+		file, _, err := e.n.files.ClassFile(ctx, c.Service)
+		if err == nil {
+			e.class = file.Match(e.in.r.Method, e.in.r.URL.Path)
+			e.once = e.class.AtMostOnce
+			return nil
+		}
+		detail = err.Error()
+	}
+	e.call = c
+	if c.IdempotencyKey != "" {
+		// An earlier attempt with this key may have run.
+		return refused(toucancall.Unknown, toucancall.ReasonNotForwarded, detail)
+	}
+	return notRun(reason, detail)
 }
 
 // serve takes the call through the gate and makes its attempts.
@@ -179,7 +204,7 @@
 	var tried []string
 	var last *reply
 	for {
-		server, ok := e.choose(home, tried)
+		server, ok := e.choose(ctx, home, tried)
 		if !ok {
 			return e.last(last, toucancall.ReasonNoBackend, "no backend server of the service is known")
 		}
@@ -191,11 +216,7 @@
 		if last.refusal == nil || !e.mayRetry(last, home) {
 			return last
 		}
-		if last.refusal.Reason == toucancall.ReasonLeaving {
-			n.directory.MarkLeaving(e.call.Service, server.NodeID)
-			n.peers.closeAddress(server.PeerAddress)
-		}
-		delay, ok := e.allowance.Retry()
+		delay, ok := e.allowance.Retry(*last.refusal, !e.once && safeMethod(e.in.r.Method))
 		if !ok || !retryDelay(ctx, delay, e.call.Deadline) {
 			return last
 		}
@@ -212,8 +233,8 @@
 	return rep
 }
 
-func (e *entry) choose(home string, tried []string) (BackendServer, bool) {
-	servers := e.n.directory.BackendServers(e.call.Service)
+func (e *entry) choose(ctx context.Context, home string, tried []string) (BackendServer, bool) {
+	servers := e.n.directory.BackendServers(ctx, e.call.Service)
 	if home == "" {
 		return e.n.chooser.Choose(e.call.Service, servers, tried)
 	}
@@ -254,15 +275,19 @@
 	} else {
 		rep = n.callPeer(ctx, call, server.PeerAddress, e.in)
 	}
-	e.allowance.Return(min(rep.hop.left, lent))
-	if rep.hop.threshold.Before(e.threshold) {
-		e.threshold = rep.hop.threshold
+	e.allowance.Return(lent, rep.hop.left)
+	e.threshold = e.threshold.Min(rep.hop.threshold)
+	if rep.hop.reported {
+		n.gate.Observe(call, e.parent != nil, rep.hop.threshold)
+		n.files.Observe(call.Service, server.NodeID, rep.hop.revision)
+	}
+	a := Attempt{
+		Target: e.class.Latency, Outcome: toucancall.Answered, Status: rep.status,
+		Load: rep.hop.load, LoadKnown: rep.hop.reported,
 	}
-	n.gate.Observe(call.Service, call.Class, rep.hop.threshold)
-	n.files.Observe(call.Service, rep.hop.revision)
-	a := Attempt{Outcome: toucancall.Answered, Load: rep.hop.load}
 	if rep.refusal != nil {
 		a.Outcome, a.Reason = rep.refusal.Outcome, rep.refusal.Reason
+		e.markServer(server, rep)
 	}
 	done := func() {
 		a.Latency = n.clock.Now().Sub(now)
@@ -283,6 +308,20 @@
 	return rep
 }
 
+// markServer tells the directory what an attempt found out about a server.
+func (e *entry) markServer(server BackendServer, rep *reply) {
+	n := e.n
+	switch rep.refusal.Reason {
+	case toucancall.ReasonLeaving:
+		n.directory.MarkLeaving(e.call.Service, server.NodeID)
+		n.peers.closeAddress(server.PeerAddress)
+	case toucancall.ReasonConnect:
+		if !rep.hop.reported {
+			n.directory.MarkUnreachable(e.call.Service, server.NodeID)
+		}
+	}
+}
+
 // peerGrace is the time past the deadline that an entry waits for the peer,
 // which ends the call at the deadline and knows better whether it ran. It covers
 // the way back between data centres, about 1.5 ms.
@@ -297,7 +336,6 @@
 	x, err := n.peers.send(ctx, call.Deadline.Add(peerGrace), address, out, forwardInterim(in.w))
 	if err != nil {
 		rep := n.classify(ctx, err, in.body)
-		rep.hop.load = -1
 		if rep.refusal.Outcome == toucancall.NotRun {
 			rep.hop.left = call.Retries
 		}
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -16,8 +16,11 @@
 	"sync/atomic"
 	"time"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclock"
+	"toucanhaven/toucankv"
+	"toucanhaven/toucanmember"
 	"toucanhaven/toucansettings"
 )
 
@@ -36,12 +39,14 @@
 	tick        = time.Second
 )
 
-// Options are the parts of a node. A nil part gets a plain one that works
-// inside one process.
+// Options are the parts of a node. A nil part gets the real one. Directory and
+// ClassFiles belong together: a node that is given a Directory follows no class
+// files, so it needs ClassFiles too.
 type Options struct {
 	Settings   toucansettings.Settings
 	Logger     *slog.Logger
 	Clock      toucanclock.Clock
+	KV         toucankv.Store
 	Directory  Directory
 	ClassFiles ClassFiles
 	Admission  Admission
@@ -64,6 +69,7 @@
 	settings    toucansettings.Settings
 	log         *slog.Logger
 	clock       toucanclock.Clock
+	kv          toucankv.Store
 	directory   Directory
 	files       ClassFiles
 	admission   Admission
@@ -82,13 +88,16 @@
 	metrics  *nodeMetrics
 	admin    *http.ServeMux
 	control  *rpc.Server
+	clients  *controlClients
 
-	listeners   []net.Listener // caller, peer, control, admin
-	servers     []*http.Server // caller, peer, admin
-	peerConns   atomic.Int64
-	closing     atomic.Bool
-	stopTicking chan struct{}
-	background  sync.WaitGroup
+	listeners  []net.Listener // caller, peer, control, admin
+	servers    []*http.Server // caller, peer, admin
+	peerConns  atomic.Int64
+	closing    atomic.Bool
+	ctx        context.Context // ends the background work
+	end        context.CancelFunc
+	loops      []func() // background work that Start begins
+	background sync.WaitGroup
 
 	controlMu     sync.Mutex
 	controlConns  map[net.Conn]bool
@@ -99,51 +108,107 @@
 // once Start is called.
 func New(o Options) (n *Node, err error) {
 	n = &Node{
-		settings: o.Settings, log: o.Logger, clock: o.Clock, directory: o.Directory, files: o.ClassFiles,
+		settings: o.Settings, log: o.Logger, clock: o.Clock, kv: o.KV, directory: o.Directory, files: o.ClassFiles,
 		admission: o.Admission, gate: o.Gate, chooser: o.Chooser, retries: o.Retries, once: o.Once,
-		admin: http.NewServeMux(), control: rpc.NewServer(), stopTicking: make(chan struct{}),
+		admin: http.NewServeMux(), control: rpc.NewServer(),
 		controlConns: map[net.Conn]bool{},
 	}
-	n.fillIn()
+	if n.log == nil {
+		n.log = slog.New(slog.DiscardHandler)
+	}
+	if n.clock == nil {
+		n.clock = toucanclock.System{}
+	}
+	if n.kv == nil {
+		n.kv = toucankv.NewClient(n.settings.KVAddress.String())
+	}
+	n.ctx, n.end = context.WithCancel(context.Background())
 	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
+	n.clients = &controlClients{clock: n.clock}
 	n.metrics = newNodeMetrics(n)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
 	n.incarnation = n.clock.Now().UnixNano()
+	if err := n.fillIn(); err != nil {
+		return nil, err
+	}
 	n.adminHandlers()
 	return n, nil
 }
 
-// fillIn replaces nil parts.
-func (n *Node) fillIn() {
-	if n.log == nil {
-		n.log = slog.New(slog.DiscardHandler)
-	}
-	if n.clock == nil {
-		n.clock = toucanclock.System{}
-	}
+// fillIn makes the parts that were not given.
+func (n *Node) fillIn() error {
 	if n.directory == nil {
-		n.directory = &MemoryDirectory{}
+		if err := n.addControlPlane(); err != nil {
+			return err
+		}
 	}
 	if n.files == nil {
 		n.files = &MemoryClassFiles{}
 	}
-	if n.admission == nil {
-		n.admission = openAdmission{}
-	}
+	gate := newLearnedGate(n.clock)
 	if n.gate == nil {
-		n.gate = openGate{}
+		n.gate = gate
+	}
+	if n.admission == nil {
+		admission := newLearnedAdmission(n.clock, gate)
+		n.admission = admission
+		n.loops = append(n.loops, func() { every(n.ctx, admissionTick, admission.tick) })
 	}
 	if n.chooser == nil {
-		n.chooser = randomChooser{}
+		n.chooser = &balancedChooser{clock: n.clock, nodeID: n.id, dataCentre: n.settings.DataCentre, resized: gate.SetServers}
 	}
 	if n.retries == nil {
-		n.retries = fixedRetries{}
+		n.retries = newBoundedRetries(n.clock)
 	}
 	if n.once == nil {
 		n.once = &memoryOnce{}
 	}
+	return nil
+}
+
+// addControlPlane makes membership and configuration, which tell each other of
+// members and revisions.
+func (n *Node) addControlPlane() error {
+	config := &configuration{
+		clock: n.clock, log: n.log, kv: n.kv, clients: n.clients, self: n.id,
+		background: &n.background, ctx: n.ctx, services: map[string]*serviceConfig{},
+	}
+	members := &membership{
+		clock: n.clock, log: n.log, kv: n.kv, clients: n.clients,
+		self: toucanbalance.Server{
+			ID: n.id, Incarnation: n.incarnation, PeerAddress: n.addresses.Peer,
+			DataCentre: n.settings.DataCentre, State: toucanbalance.Alive,
+		},
+		membersOf: config.follow, revisionOf: config.Observe, forget: config.forget,
+		background: &n.background, ctx: n.ctx,
+		views: map[string]*serviceView{}, answers: map[uint64]chan toucanmember.Message{},
+	}
+	config.installed = members.setRevision
+	n.directory, n.files = members, config
+	n.loops = append(n.loops,
+		func() { every(n.ctx, toucanmember.TickPeriod, members.tick) },
+		func() { every(n.ctx, configTick, config.tick) })
+	prepare := func(ctx context.Context, service string) { members.BackendServers(ctx, service) }
+	config.admin(prepare).Register(n.admin)
+	return errors.Join(
+		n.control.RegisterName("Member", memberService{members}),
+		n.control.RegisterName("Config", configService{config}))
+}
+
+// every calls f each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (n *Node) listen() (err error) {
@@ -199,7 +264,10 @@
 		n.background.Go(func() { n.serve(n.servers[i], l) })
 	}
 	n.background.Go(n.serveControl)
-	n.background.Go(n.ticker)
+	n.background.Go(func() { every(n.ctx, tick, n.tick) })
+	for _, loop := range n.loops {
+		n.background.Go(loop)
+	}
 	n.log.Info("listening", slog.String("caller_address", n.addresses.Caller), slog.String("peer_address", n.addresses.Peer),
 		slog.String("control_address", n.addresses.Control), slog.String("admin_address", n.addresses.Admin))
 }
@@ -273,19 +341,11 @@
 	}
 }
 
-func (n *Node) ticker() {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			n.peers.closeIdle()
-			n.backends.closeIdle()
-			n.checkBackend()
-		case <-n.stopTicking:
-			return
-		}
-	}
+func (n *Node) tick() {
+	n.peers.closeIdle()
+	n.backends.closeIdle()
+	n.clients.closeIdle()
+	n.checkBackend()
 }
 
 // Stop ends the node without cutting a call off: it announces leaving, refuses
@@ -302,8 +362,9 @@
 		n.log.Warn("seal_failed", slog.Any("error", err))
 	}
 	err = n.shutDown(ctx)
-	close(n.stopTicking)
+	n.end()
 	n.closeControl()
+	n.clients.close()
 	n.peers.close()
 	n.backends.close()
 	n.background.Wait()
--- a/toucannode/parents.go
+++ b/toucannode/parents.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
 )
 
@@ -48,7 +49,7 @@
 	mu         sync.Mutex
 	held       int // retry allowance not lent at the moment
 	returned   bool
-	threshold  Threshold // most restrictive of the child calls
+	threshold  toucanadmission.Threshold // most restrictive of the child calls
 	children   int
 	busySince  time.Time // since when at least one child call runs
 	childTime  time.Duration
@@ -58,7 +59,7 @@
 }
 
 func newParent(c toucancall.Call) *parent {
-	return &parent{token: newToken(), call: c, held: c.Retries, threshold: OpenThreshold}
+	return &parent{token: newToken(), call: c, held: c.Retries, threshold: toucanadmission.Open}
 }
 
 // startChild lends a part of the allowance to a child call.
@@ -81,7 +82,7 @@
 }
 
 // endChild takes back the unused part of a child call's allowance.
-func (p *parent) endChild(now time.Time, left int, t Threshold) {
+func (p *parent) endChild(now time.Time, left int, t toucanadmission.Threshold) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.children--; p.children == 0 {
@@ -90,14 +91,12 @@
 	if !p.returned {
 		p.held += left
 	}
-	if t.Before(p.threshold) {
-		p.threshold = t
-	}
+	p.threshold = p.threshold.Min(t)
 }
 
 // report returns what the answer of the run carries. The allowance goes back
 // with it, so later child calls get none.
-func (p *parent) report() (left int, t Threshold) {
+func (p *parent) report() (left int, t toucanadmission.Threshold) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left, p.held, p.returned = p.held, 0, true
--- a/toucannode/policy.go
+++ b/toucannode/policy.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
 )
@@ -24,6 +25,7 @@
 // BackendServer is a backend server as the entries of its service know it.
 type BackendServer struct {
 	NodeID      string // control address of the node beside it
+	Incarnation int64  // start time of that node in nanoseconds
 	PeerAddress string
 	DataCentre  string
 	State       ServerState
@@ -32,10 +34,13 @@
 // Directory knows the backend servers of services and spreads the word about
 // the one beside this node.
 type Directory interface {
-	// BackendServers returns those known now. The caller does not change the slice.
-	BackendServers(service string) []BackendServer
+	// BackendServers returns those known now, the same slice until something
+	// changes. The caller does not change the slice.
+	BackendServers(ctx context.Context, service string) []BackendServer
 	// MarkLeaving notes that a backend server refused a call because it is leaving.
 	MarkLeaving(service, nodeID string)
+	// MarkUnreachable notes that no connection to the node was made.
+	MarkUnreachable(service, nodeID string)
 	// Announce says that the backend server beside this node takes calls.
 	Announce(service string, self BackendServer)
 	// Leave says that it takes no new calls.
@@ -44,9 +49,10 @@
 
 // ClassFiles gives the class file in force for a service.
 type ClassFiles interface {
-	ClassFile(service string) (file toucanclass.File, revision uint64)
-	// Observe notes a revision that an answer carried.
-	Observe(service string, revision uint64)
+	// ClassFile fails when the class file of the service is not known yet.
+	ClassFile(ctx context.Context, service string) (file toucanclass.File, revision uint64, err error)
+	// Observe notes a revision that an answer of a node carried.
+	Observe(service, nodeID string, revision uint64)
 }
 
 // Admission decides when a call starts at the local backend server.
@@ -54,13 +60,23 @@
 	// Admit waits until the call may start. A refused call has a nil slot and a
 	// reason. Admit returns when ctx ends or the deadline of the call passes.
 	Admit(ctx context.Context, c toucancall.Call) (Slot, toucancall.Reason)
-	Threshold() Threshold
-	// Load is the load of the backend server; 1000 means that it is full.
-	Load() int
+	// Threshold is what answers to calls of a rank carry.
+	Threshold(r toucanclass.Rank) toucanadmission.Threshold
+	Load() toucanadmission.Load
+	Status() AdmissionStatus
+}
+
+// AdmissionStatus describes admission control at one backend server.
+type AdmissionStatus struct {
+	Limit   int // learned concurrency limit; 0 means none
+	Running int
+	Queued  int
 }
 
 // Slot is the right to run one call.
 type Slot interface {
+	// Level is the tenant-fair level that child calls carry.
+	Level() int
 	Release(RunResult)
 }
 
@@ -76,15 +92,18 @@
 type Gate interface {
 	// Check returns the tenant-fair level of a call, or a reason to refuse it.
 	Check(c toucancall.Call, child bool) (level int, reason toucancall.Reason)
-	Observe(service, class string, t Threshold)
+	Observe(c toucancall.Call, child bool, t toucanadmission.Threshold)
 }
 
 // Attempt is the end of one attempt as the choice of backend servers sees it.
 type Attempt struct {
-	Latency time.Duration
-	Outcome toucancall.Outcome
-	Reason  toucancall.Reason
-	Load    int // reported on the answer; -1 when none was
+	Latency   time.Duration
+	Target    time.Duration // latency target of the class
+	Outcome   toucancall.Outcome
+	Reason    toucancall.Reason
+	Status    int
+	Load      toucanadmission.Load // reported on the answer
+	LoadKnown bool
 }
 
 // Chooser picks the backend server of an attempt.
@@ -98,10 +117,13 @@
 
 // Retries gives calls their retry allowance.
 type Retries interface {
-	// Root starts the allowance of a request at its entry.
-	Root(c toucancall.Call) Allowance
+	// Root starts the allowance of a request at its entry. It returns false when
+	// a repeat of the request has used the allowance up.
+	Root(c toucancall.Call) (Allowance, bool)
 	// Child starts the allowance of a child call from what its parent lent.
 	Child(c toucancall.Call) Allowance
+	// RetryAfter is the time that a refused caller is advised to wait.
+	RetryAfter() time.Duration
 }
 
 // Allowance is the retry allowance of one call at its entry.
@@ -109,12 +131,15 @@
 	// Lend takes the part that goes with an attempt.
 	Lend() int
 	// Return gives back the unused part of what was lent. A lost answer
-	// returns nothing.
-	Return(left int)
-	// Retry takes one retry and returns the delay before it.
-	Retry() (delay time.Duration, ok bool)
+	// returns 0.
+	Return(lent, left int)
+	// Retry takes one retry after an attempt that ended with r, and returns the
+	// delay before the next one.
+	Retry(r Refusal, safeToRepeat bool) (delay time.Duration, ok bool)
 	// Left is what the call still holds.
 	Left() int
+	// End says that the call leaves its entry.
+	End()
 }
 
 // Once keeps requests of at-most-once classes from running twice.
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
 	"sync"
 	"time"
 
+	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
 )
 
@@ -19,7 +21,6 @@
 	// first byte goes on. Such an answer that breaks off ends as a clear
 	// refusal, not as a connection abort.
 	wholeAnswerBytes = 32 << 10
-	retryAfter       = "1" // seconds
 )
 
 // reply is the result of a stage of the path: an answer, or a refusal.
@@ -44,14 +45,15 @@
 
 // hopReport is what an answer carries between nodes.
 type hopReport struct {
-	threshold Threshold
-	load      int
+	reported  bool // by the node beside the backend server
+	threshold toucanadmission.Threshold
+	load      toucanadmission.Load
 	left      int
 	revision  uint64
 }
 
 func refused(o toucancall.Outcome, reason toucancall.Reason, detail string) *reply {
-	return &reply{refusal: &Refusal{Outcome: o, Reason: reason, Detail: detail}, hop: hopReport{threshold: OpenThreshold}}
+	return &reply{refusal: &Refusal{Outcome: o, Reason: reason, Detail: detail}, hop: hopReport{threshold: toucanadmission.Open}}
 }
 
 func notRun(reason toucancall.Reason, detail string) *reply {
@@ -64,7 +66,7 @@
 	rep := &reply{
 		ctx: ctx, deadline: deadline,
 		status: x.resp.StatusCode, header: x.resp.Header, length: x.resp.ContentLength,
-		rest: x, sent: out.body, hop: hopReport{threshold: OpenThreshold},
+		rest: x, sent: out.body, hop: hopReport{threshold: toucanadmission.Open},
 	}
 	if x.resp.ContentLength < 0 && x.resp.Close && len(x.resp.TransferEncoding) == 0 && out.method != http.MethodHead {
 		x.finish(out.body)
@@ -126,7 +128,7 @@
 		outcome = toucancall.Unknown
 	}
 	if senderErr := body.failure(); senderErr != nil {
-		return &reply{refusal: n.senderRefusal(outcome, senderErr), own: true, hop: hopReport{threshold: OpenThreshold}}
+		return &reply{refusal: n.senderRefusal(outcome, senderErr), own: true, hop: hopReport{threshold: toucanadmission.Open}}
 	}
 	reason := n.interruption(ctx, failure.err)
 	if reason == toucancall.ReasonConnectionLost && !failure.sent {
@@ -151,7 +153,7 @@
 		rep.hop.set(h)
 	}
 	if rep.refusal != nil {
-		writeRefusal(w, rep.refusal)
+		n.writeRefusal(w, rep.refusal)
 		return
 	}
 	rep.copyHeader(h)
@@ -278,7 +280,7 @@
 // set writes the fields that an answer carries between nodes.
 func (m hopReport) set(h http.Header) {
 	h.Set(toucancall.HeaderThreshold, m.threshold.String())
-	h.Set(toucancall.HeaderLoad, strconv.Itoa(m.load))
+	h.Set(toucancall.HeaderLoad, m.load.String())
 	h.Set(toucancall.HeaderRetriesLeft, strconv.Itoa(m.left))
 	h.Set(toucancall.HeaderConfigRevision, strconv.FormatUint(m.revision, 10))
 }
@@ -286,13 +288,11 @@
 // readHopReport reads them. A malformed field counts as absent, because the
 // answer itself is still good.
 func readHopReport(h http.Header, lent int) hopReport {
-	m := hopReport{threshold: OpenThreshold, load: -1}
-	if t, err := parseThreshold(h.Get(toucancall.HeaderThreshold)); err == nil {
-		m.threshold = t
-	}
-	if load, err := strconv.Atoi(h.Get(toucancall.HeaderLoad)); err == nil && load >= 0 {
-		m.load = load
-	}
+	var m hopReport
+	var thresholdErr, loadErr error
+	m.threshold, thresholdErr = toucanadmission.ParseThreshold(h.Get(toucancall.HeaderThreshold))
+	m.load, loadErr = toucanadmission.ParseLoad(h.Get(toucancall.HeaderLoad))
+	m.reported = thresholdErr == nil && loadErr == nil
 	if left, err := strconv.Atoi(h.Get(toucancall.HeaderRetriesLeft)); err == nil && left >= 0 {
 		m.left = min(left, lent)
 	}
@@ -303,14 +303,15 @@
 }
 
 // writeRefusal writes outcome and reason, and one line of text.
-func writeRefusal(w http.ResponseWriter, r *Refusal) {
+func (n *Node) writeRefusal(w http.ResponseWriter, r *Refusal) {
 	h := w.Header()
 	h.Set(toucancall.HeaderOutcome, string(r.Outcome))
 	h.Set(toucancall.HeaderReason, string(r.Reason))
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	status := refusalStatus(r)
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", retryAfter)
+		seconds := math.Ceil(n.retries.RetryAfter().Seconds())
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
 	w.WriteHeader(status)
 	if r.Detail == "" {
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
 )
 
@@ -79,6 +80,13 @@
 	return l.address, nil
 }
 
+// serves reports whether the service is the one beside this node.
+func (l *local) serves(service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.service == service
+}
+
 func (l *local) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,25 +116,44 @@
 
 // run takes a call to the local backend server.
 func (n *Node) run(ctx context.Context, call toucancall.Call, in *inbound) *reply {
-	file, revision := n.files.ClassFile(call.Service)
-	r := &run{n: n, in: in, call: call, atMostOnce: file.Match(in.r.Method, in.r.URL.Path).AtMostOnce}
-	rep := r.steps(ctx)
-	rep.hop.load, rep.hop.revision = n.admission.Load(), revision
-	if t := n.admission.Threshold(); t.Before(rep.hop.threshold) {
-		rep.hop.threshold = t
+	r := &run{n: n, in: in, call: call}
+	revision, rep := r.findClass(ctx)
+	if rep == nil {
+		rep = r.steps(ctx)
 	}
+	rep.hop.reported, rep.hop.load, rep.hop.revision = true, n.admission.Load(), revision
+	rep.hop.threshold = rep.hop.threshold.Min(n.admission.Threshold(call.Rank))
 	return rep
 }
 
 // refuseHere refuses a call of another entry. The key of an at-most-once request
 // is refused for good, and one that ran before gets its answer.
 func (n *Node) refuseHere(ctx context.Context, call toucancall.Call, in *inbound, refusal *Refusal) *reply {
-	file, _ := n.files.ClassFile(call.Service)
 	r := &run{n: n, in: in, call: call, early: refusal}
-	r.atMostOnce = file.Match(in.r.Method, in.r.URL.Path).AtMostOnce
+	if _, rep := r.findClass(ctx); rep != nil {
+		return rep
+	}
 	return r.steps(ctx)
 }
 
+// findClass finds out whether the call may run at most once. Until the class
+// file is known, only a call of a service that is not beside this node gets
+// further, to be refused.
+func (r *run) findClass(ctx context.Context) (revision uint64, rep *reply) {
+	if !r.n.local.serves(r.call.Service) {
+		return 0, nil
+	}
+	file, revision, err := r.n.files.ClassFile(ctx, r.call.Service)
+	switch {
+	case err == nil:
+		r.atMostOnce = file.Match(r.in.r.Method, r.in.r.URL.Path).AtMostOnce
+		return revision, nil
+	case r.call.IdempotencyKey != "":
+		return 0, r.unused(refused(toucancall.Unknown, toucancall.ReasonNotForwarded, err.Error()))
+	}
+	return 0, r.unused(notRun(toucancall.ReasonNoBackend, err.Error()))
+}
+
 // steps takes the call through key, backend server and slot. The key comes
 // first, because a key that ran must not be answered with "not run".
 func (r *run) steps(ctx context.Context) *reply {
@@ -134,7 +161,7 @@
 		return rep
 	}
 	if r.early != nil {
-		return r.withdraw(&reply{refusal: r.early, hop: hopReport{threshold: OpenThreshold}})
+		return r.withdraw(&reply{refusal: r.early, hop: hopReport{threshold: toucanadmission.Open}})
 	}
 	address, refusal := r.n.local.begin(r.call.Service)
 	if refusal != nil {
@@ -166,7 +193,7 @@
 		case repeat != nil:
 			return r.unused(&reply{
 				status: repeat.Status, header: repeat.Header, trailer: repeat.Trailer,
-				body: repeat.Body, length: int64(len(repeat.Body)), hop: hopReport{threshold: OpenThreshold},
+				body: repeat.Body, length: int64(len(repeat.Body)), hop: hopReport{threshold: toucanadmission.Open},
 			})
 		}
 		r.once = run
@@ -181,6 +208,7 @@
 		return r.withdraw(notRun(reason, ""))
 	}
 	r.slot, r.started = slot, r.n.clock.Now()
+	r.call = r.call.WithLevel(slot.Level())
 	if r.call.Deadline.Sub(r.started) < minRemaining {
 		slot.Release(RunResult{Outcome: toucancall.NotRun, Reason: toucancall.ReasonDeadline})
 		return r.withdraw(notRun(toucancall.ReasonDeadline, ""))
@@ -266,9 +294,7 @@
 	}
 	left, threshold := r.parent.report()
 	rep.hop.left = left
-	if threshold.Before(rep.hop.threshold) {
-		rep.hop.threshold = threshold
-	}
+	rep.hop.threshold = rep.hop.threshold.Min(threshold)
 	return rep
 }
 
