toucanconfig: end a simulated freeze with its process

Ruled out: a fault of the spread; a frozen node leaves the views after 5 s. Document sizes are printed by a test.

--- a/toucanconfig/document_test.go
+++ b/toucanconfig/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"toucanhaven/toucanclass"
 	"toucanhaven/toucanclock"
 	"toucanhaven/toucankv"
 )
@@ -96,3 +98,29 @@
 		}
 	})
 }
+
+// Prints the size of a document for the page; a document that outgrew its
+// estimate would cost every node more bytes for each change.
+func TestDocumentBytes(t *testing.T) {
+	for _, classes := range []int{2, 10, toucanclass.MaxClasses} {
+		file := toucanclass.File{Service: "ordini"}
+		for i := range classes {
+			file.Classes = append(file.Classes, toucanclass.Class{
+				Name: fmt.Sprintf("class_%d", i), Method: "POST", Path: fmt.Sprintf("/orders/%d", i),
+				Latency: 800 * time.Millisecond, Success: 0.9999, AtMostOnce: true,
+			})
+		}
+		var d Document
+		for i := range MaxChanges {
+			var err error
+			d, err = d.WithChange("ordini", "anna.rossi", fmt.Sprintf("%026d", i), string(file.Canonical()), time.Unix(1767225600, 0))
+			is.New(t).NoErr(err)
+		}
+		encoded, err := d.Encode()
+		is.New(t).NoErr(err)
+		var b bytes.Buffer
+		is.New(t).NoErr(gob.NewEncoder(&b).Encode(d.message()))
+		t.Logf("classes=%d file_bytes=%d json_bytes=%d gob_bytes=%d", classes, len(d.Source()), len(encoded), b.Len())
+		is.New(t).True(len(encoded) < 4096+2*len(d.Source()))
+	}
+}
--- a/toucanconfig/sim_test.go
+++ b/toucanconfig/sim_test.go
@@ -173,11 +173,17 @@
 
 func (n *simNode) freeze(d time.Duration) {
 	n.frozenUntil, n.downSince = n.now().Add(d), n.now()
-	n.after(d, func() { n.downSince, n.resumed = time.Time{}, n.now() })
+	life := n.life
+	n.after(d, func() {
+		if n.up && n.life == life {
+			n.downSince, n.resumed = time.Time{}, n.now()
+		}
+	})
 }
 
+// restart replaces the process; a freeze ends with the one before.
 func (n *simNode) restart() {
-	n.downSince = time.Time{}
+	n.downSince, n.frozenUntil = time.Time{}, time.Time{}
 	n.boot()
 }
 
