--- /dev/null
+++ b/toucanconfig/admin_test.go
@@ -0,0 +1,67 @@
+package toucanconfig
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucankv"
+	"toucanhaven/toucankvtest"
+)
+
+// Counts the calls that one change costs at the key-value service with both
+// watches waiting; the platform bills each of them.
+func TestKVCallsPerChange(t *testing.T) {
+	is := is.New(t)
+	var server toucankvtest.Server
+	listener := httptest.NewServer(&server)
+	defer listener.Close()
+	kv := toucankv.NewClient(strings.TrimPrefix(listener.URL, "http://"))
+	ctx, cancel := context.WithCancel(t.Context())
+	seen := make(chan uint64, 100)
+	for range watchers {
+		go func() {
+			var index uint64
+			for ctx.Err() == nil {
+				snapshot, err := kv.Watch(ctx, Key("ordini"), index, WatchWait)
+				if err != nil {
+					return
+				}
+				index = snapshot.Index
+				d, _ := Decode(snapshot.Pair.Value)
+				seen <- d.Revision()
+			}
+		}()
+	}
+	defer cancel()
+	for range watchers {
+		<-seen
+	}
+	const changes = 20
+	waiting := func(n int) {
+		for server.Counters().Watches < n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	waiting(watchers)
+	before := server.Counters()
+	for i := range uint64(changes) {
+		request := Request{Service: "ordini", Replaces: i, Author: "anna", Nonce: fmt.Sprint(i), Source: simSource}
+		_, err := Apply(ctx, kv, NewApplication(toucanclock.System{}, request, i))
+		is.NoErr(err)
+		for range watchers {
+			is.Equal(<-seen, i+1)
+		}
+		waiting(watchers * int(i+2))
+	}
+	after := server.Counters()
+	t.Logf("calls per change: reads=%d writes=%d watches=%d",
+		(after.Reads-before.Reads)/changes, (after.Writes-before.Writes)/changes, (after.Watches-before.Watches)/changes)
+	is.Equal((after.Total()-before.Total())/changes, 2+watchers)
+}
--- a/toucanconfig/spread.go
+++ b/toucanconfig/spread.go
@@ -29,6 +29,10 @@
 	startWait = 2 * time.Second
 	// fetchTimeout frees a node from a peer that does not answer a fetch.
 	fetchTimeout = time.Second
+	// silenceLimit is how long a node goes without a revision from any member, due
+	// every second or two, before it asks one itself. Without it, an entry whose
+	// polls went to a frozen member was late by 0.6 s in one of 2,812 schedules.
+	silenceLimit = 2500 * time.Millisecond
 	// pauseLimit is the gap between two ticks, due every second, after which the
 	// process counts as paused.
 	pauseLimit = 3 * time.Second
@@ -157,6 +161,8 @@
 	heard      map[string]uint64 // revisions of live members
 	fetching   map[string]time.Time
 	lastTick   time.Time
+	lastHeard  time.Time // from any member
+	avoid      string    // member that failed to answer last
 	starting   bool
 	firstHeard time.Time // first answer while starting
 	pending    int       // answers still due while starting
@@ -167,7 +173,7 @@
 func NewSpread(service, self string, clock toucanclock.Clock, random *rand.Rand, store *Store) *Spread {
 	return &Spread{
 		service: service, self: self, clock: clock, random: random, store: store,
-		heard: map[string]uint64{}, fetching: map[string]time.Time{}, lastTick: clock.Now(),
+		heard: map[string]uint64{}, fetching: map[string]time.Time{}, lastTick: clock.Now(), lastHeard: clock.Now(),
 	}
 }
 
@@ -308,21 +314,35 @@
 // document, the next fetch waits for a tick, so that a peer that claims more than
 // it has causes no loop.
 func (s *Spread) hear(from string, revision uint64, answer bool) []Effect {
-	if s.isMember(from) {
-		s.heard[from] = revision
-	}
+	s.note(from, revision)
 	if answer || revision <= s.Revision() || len(s.fetching) > 0 {
 		return nil
 	}
 	return s.fetchFrom([]string{from})
 }
 
-// fetchNewer asks one of the members known to have a newer revision.
+// note remembers the revision of a member.
+func (s *Spread) note(from string, revision uint64) {
+	if s.isMember(from) {
+		s.heard[from] = revision
+		s.lastHeard = s.clock.Now()
+	}
+}
+
+// fetchNewer asks one of the members known to have a newer revision, or any
+// member after a silence.
 func (s *Spread) fetchNewer() []Effect {
 	if len(s.fetching) > 0 {
 		return nil
 	}
-	return s.fetchFrom(s.choose(1, s.isAhead))
+	peers := s.choose(1, s.isAhead)
+	if silent := s.clock.Now().Sub(s.lastHeard) > silenceLimit; silent && len(peers) == 0 {
+		peers = s.choose(1, func(id string) bool { return id != s.avoid })
+		if len(peers) == 0 {
+			peers = s.choose(1, nil)
+		}
+	}
+	return s.fetchFrom(peers)
 }
 
 func (s *Spread) fetchFrom(peers []string) (effects []Effect) {
@@ -367,6 +387,7 @@
 		s.countAnswer(false)
 	}
 	delete(s.heard, from)
+	s.avoid = from
 }
 
 func (s *Spread) countAnswer(ok bool) {
@@ -381,9 +402,7 @@
 	if d.Service() != s.service {
 		return nil
 	}
-	if s.isMember(from) {
-		s.heard[from] = d.Revision()
-	}
+	s.note(from, d.Revision())
 	current, _ := s.store.Get(s.service)
 	if d.Revision() == current.Revision() && d.Nonce() != current.Nonce() {
 		return []Effect{RejectedEffect{Err: fmt.Errorf("revision %d exists twice, by %s and by %s", d.Revision(), current.Author(), d.Author())}}
--- a/toucanconfig/spread_test.go
+++ b/toucanconfig/spread_test.go
@@ -169,7 +169,7 @@
 	}
 	t.Logf("longest time until current after a pause: %v", longest)
 	is := is.New(t)
-	is.True(longest[correct] < 1500*time.Millisecond)
+	is.True(longest[correct] < 100*time.Millisecond)
 	is.True(longest[noRevalidation] > longest[correct])
 }
 
@@ -203,3 +203,11 @@
 }
 
 func ms(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
+// An entry whose polls all went to a frozen member was late by 0.6 s while the
+// key-value service was down.
+func TestEntryAsksAnotherMemberAfterSilence(t *testing.T) {
+	faults := []fault{{"kv_down_after_write", 3 * time.Second, 0}, {"freeze", 3 * time.Second, 2}}
+	problem, _ := runSchedule(0xd, faults, []time.Duration{3 * time.Second}, correct)
+	is.New(t).Equal(problem, "")
+}
