toucannode: test stops, kills and child calls; let a sender read an early answer

Repeated runs found that a sender whose answer came before the end of its body could lose it: the connection was closed while it was sending. A body that stalled was also reported as cancelled now and then, because http.Server cancels a request whose body cannot be read before the reader learns why.

--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -63,6 +64,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"awaitmembers": awaitMembers,
 			"awaitline":    awaitLine,
+			"awaitcount":   awaitCount,
 			"terminate":    terminate,
 			"exitstatus":   exitStatus,
 		},
@@ -120,6 +122,19 @@
 	})
 }
 
+// awaitCount waits until a file holds a number of lines: awaitcount file count.
+func awaitCount(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: awaitcount file count")
+	}
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	await(ts, args[1]+" lines", func() bool {
+		text, err := os.ReadFile(ts.MkAbs(args[0]))
+		return err == nil && strings.Count(string(text), "\n") >= count
+	})
+}
+
 // terminate sends SIGTERM to the background process that has the given word on
 // its command line.
 func terminate(ts *testscript.TestScript, _ bool, args []string) {
--- a/toucannode/body.go
+++ b/toucannode/body.go
@@ -16,7 +16,10 @@
 // request goes on.
 const bufferedBodyBytes = 16 << 10
 
-var errBodyTooLarge = errors.New("request body is over the size limit")
+var (
+	errBodyTooLarge = errors.New("request body is over the size limit")
+	errStopped      = errors.New("reading the request body was stopped")
+)
 
 // senderReader reads a request body, bounded in size and in the time between
 // two reads.
@@ -26,13 +29,22 @@
 	idle    time.Duration
 	left    int64
 	ended   atomic.Bool // the body was read to its end
+
+	stopping atomic.Bool
 }
 
 func (s *senderReader) Read(p []byte) (int, error) {
-	if err := s.control.SetReadDeadline(time.Now().Add(s.idle)); err != nil {
+	deadline := time.Now().Add(s.idle)
+	if err := s.control.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
+	if s.stopping.Load() {
+		return 0, errStopped
+	}
 	n, err := s.r.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
+		return n, errStopped
+	}
 	if s.left -= int64(n); s.left < 0 {
 		return 0, errBodyTooLarge
 	}
@@ -50,6 +62,7 @@
 // stop makes a pending read return. After the end of the body the server reads
 // the connection itself, and a deadline would end it.
 func (s *senderReader) stop() {
+	s.stopping.Store(true)
 	if !s.ended.Load() {
 		_ = s.control.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -33,6 +33,7 @@
 	}
 	start := n.clock.Now()
 	e := &entry{n: n, in: &inbound{r: r, w: w}, threshold: OpenThreshold}
+	defer e.in.release()
 	ctx, end, rep := e.identify(start)
 	if rep == nil {
 		rep = e.serve(ctx)
@@ -45,6 +46,7 @@
 	}
 	defer func() { n.metrics.request(e.call, outcome, known, n.clock.Now().Sub(start)) }()
 	n.deliver(w, rep, e.in, false)
+	e.in.delivered = true
 }
 
 // identify reads the metadata of the call. The end function returns what the
@@ -333,10 +335,17 @@
 // servePeer takes a call from the entry where it entered.
 func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
 	in := &inbound{r: r, w: w}
+	defer in.release()
+	n.deliver(w, n.takePeer(in), in, true)
+	in.delivered = true
+}
+
+// takePeer runs the call, or refuses it.
+func (n *Node) takePeer(in *inbound) *reply {
+	w, r := in.w, in.r
 	call, err := toucancall.FromNode(r.Header, n.clock.Now())
 	if err != nil {
-		n.deliver(w, notRun(toucancall.ReasonBadRequest, err.Error()), in, true)
-		return
+		return notRun(toucancall.ReasonBadRequest, err.Error())
 	}
 	var refusal *Refusal
 	if call.Depth > toucancall.MaxDepth {
@@ -345,10 +354,9 @@
 		in.body, refusal = n.readBody(w, r)
 	}
 	if refusal != nil {
-		n.deliver(w, n.refuseHere(r.Context(), call, in, refusal), in, true)
-		return
+		return n.refuseHere(r.Context(), call, in, refusal)
 	}
-	n.deliver(w, n.run(r.Context(), call, in), in, true)
+	return n.run(r.Context(), call, in)
 }
 
 const maxKeysIssued = 1000
--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -81,9 +81,10 @@
 		return x, nil
 	}
 	x.close()
-	if x.writing != nil {
-		out.body.interrupt()
-		<-x.writing
+	if x.writing != nil && ctx.Err() != nil {
+		// The server also cancels a request whose body cannot be read; the
+		// goroutine that streams the body knows why.
+		x.awaitWriting()
 	}
 	return nil, &sendError{sent: sent.Load(), answered: errors.Is(err, errUpgrade), err: err}
 }
@@ -101,13 +102,18 @@
 	if err := writeAll(x.c, x.c.head, sent); err != nil {
 		return err
 	}
-	x.writing = make(chan error, 1)
+	x.writing, out.body.released = make(chan error, 1), make(chan struct{})
+	out.body.started = out.body.r != nil
 	go func() {
+		defer close(out.body.released)
 		err := out.body.copyTo(x.c)
 		if out.body.failure() != nil {
 			x.c.Close() // the rest of the body will never come
 		}
 		x.writing <- err
+		if err != nil && out.body.failure() == nil && out.body.r != nil {
+			out.body.discard()
+		}
 	}()
 	return nil
 }
@@ -152,14 +158,11 @@
 func (x *exchange) buffered() bool { return x.c.r.Buffered() > 0 }
 
 // finish returns the connection to the pool when nothing is left on it, and
-// closes it otherwise. It returns once the streamed body is no longer in use.
+// closes it otherwise.
 func (x *exchange) finish(body *inboundBody) {
 	clean := x.whole && !x.resp.Close
 	if x.writing != nil {
-		if !clean {
-			x.close()
-		}
-		clean = x.endWriting(body) && clean
+		clean = clean && body.readToEnd() && x.awaitWriting()
 	}
 	clean = x.stop() && clean && x.c.r.Buffered() == 0
 	if clean && x.c.SetDeadline(time.Time{}) == nil {
@@ -173,23 +176,16 @@
 // answer has ended. A server that does not read it is not waited for.
 const lastWrite = 50 * time.Millisecond
 
-// endWriting waits for the goroutine that streams the body and reports whether
-// the body was sent whole.
-func (x *exchange) endWriting(body *inboundBody) bool {
+// awaitWriting reports whether the body was sent whole.
+func (x *exchange) awaitWriting() bool {
 	t := time.NewTimer(lastWrite)
 	defer t.Stop()
-	if body.readToEnd() {
-		select {
-		case err := <-x.writing:
-			return err == nil
-		case <-t.C:
-		}
+	select {
+	case err := <-x.writing:
+		return err == nil
+	case <-t.C:
+		return false
 	}
-	// The answer ended before the request did.
-	x.close()
-	body.interrupt()
-	<-x.writing
-	return false
 }
 
 func (x *exchange) close() {
@@ -265,9 +261,9 @@
 	trailer http.Header // announced trailer fields, filled at the end of the body
 	started bool        // bytes of r were consumed, so the body cannot be sent again
 
-	sender  *senderReader         // nil when the body is plain
-	stopped atomic.Bool           // reading was stopped on purpose
-	err     atomic.Pointer[error] // failure of the sender
+	sender   *senderReader         // nil when the body is plain
+	released chan struct{}         // closed when the goroutine that streams the body ended
+	err      atomic.Pointer[error] // failure of the sender
 }
 
 func (b *inboundBody) whole() bool { return b == nil || b.r == nil }
@@ -275,21 +271,37 @@
 // repeatable reports whether the body can be sent again.
 func (b *inboundBody) repeatable() bool { return b.whole() || !b.started }
 
-// interrupt makes a pending read of the body return.
-func (b *inboundBody) interrupt() {
-	if b != nil && b.sender != nil {
-		b.stopped.Store(true)
-		b.sender.stop()
+// release ends the goroutine that streams the body. For the linger time it may
+// read on, because a sender whose connection is closed while it sends may lose
+// the answer.
+func (b *inboundBody) release(linger time.Duration) {
+	if b == nil || b.released == nil {
+		return
+	}
+	t := time.NewTimer(linger)
+	defer t.Stop()
+	select {
+	case <-b.released:
+		return
+	case <-t.C:
+	}
+	b.sender.stop()
+	<-b.released
+}
+
+// discard reads the rest of the body after the next hop stopped taking it.
+func (b *inboundBody) discard() {
+	buf := make([]byte, copyBufferBytes)
+	for {
+		if _, err := b.r.Read(buf); err != nil {
+			return
+		}
 	}
 }
 
 // readToEnd reports whether nothing is left to read from the sender.
 func (b *inboundBody) readToEnd() bool { return b.whole() || b.sender.ended.Load() }
 
-// cutShort reports whether the rest of the body was given up. The connection it
-// arrives on can carry no other request.
-func (b *inboundBody) cutShort() bool { return b != nil && b.stopped.Load() }
-
 // failure returns why the sender's body could not be read, or nil.
 func (b *inboundBody) failure() error {
 	if b == nil {
@@ -334,7 +346,6 @@
 // copyTo streams the body to the next hop. A failure of the sender is kept
 // apart from a failure of the connection.
 func (b *inboundBody) copyTo(w io.Writer) error {
-	b.started = b.r != nil
 	bw := bufio.NewWriterSize(w, copyBufferBytes)
 	buf := make([]byte, copyBufferBytes-chunkOverhead)
 	var rest io.Reader = bytes.NewReader(b.prefix)
@@ -352,7 +363,7 @@
 			break
 		}
 		if err != nil {
-			if !b.stopped.Load() {
+			if !errors.Is(err, errStopped) {
 				b.err.Store(&err)
 			}
 			return err
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -141,12 +141,13 @@
 // aborts the connection when the answer breaks off after its first byte.
 func (n *Node) deliver(w http.ResponseWriter, rep *reply, in *inbound, hop bool) {
 	h := w.Header()
-	if rep.rest == nil && unread(in) {
-		giveUpBody(w)
-	}
-	if n.closing.Load() || in.body.cutShort() {
+	if n.closing.Load() {
 		h.Set("Connection", "close")
 	}
+	if rep.rest == nil && unread(in) {
+		giveUpBody(w, in.body)
+		defer http.NewResponseController(w).Flush()
+	}
 	if hop {
 		rep.hop.set(h)
 	}
@@ -188,9 +189,12 @@
 
 // giveUpBody lets the answer go out before the request body has arrived. The
 // server would otherwise first wait for the body.
-func giveUpBody(w http.ResponseWriter) {
-	control := http.NewResponseController(w)
+func giveUpBody(w http.ResponseWriter, body *inboundBody) {
 	w.Header().Set("Connection", "close")
+	if body != nil && body.released != nil {
+		return // the goroutine that streams the body reads on, see release
+	}
+	control := http.NewResponseController(w)
 	// Neither fails on the connections of http.Server.
 	_ = control.EnableFullDuplex()
 	_ = control.SetReadDeadline(time.Now().Add(bodyLinger))
@@ -312,12 +316,13 @@
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", retryAfter)
 	}
-	w.WriteHeader(status)
+	text := fmt.Sprintf("toucanhaven: %s: %s: %s\n", r.Outcome, r.Reason, r.Detail)
 	if r.Detail == "" {
-		fmt.Fprintf(w, "toucanhaven: %s: %s\n", r.Outcome, r.Reason)
-		return
+		text = fmt.Sprintf("toucanhaven: %s: %s\n", r.Outcome, r.Reason)
 	}
-	fmt.Fprintf(w, "toucanhaven: %s: %s: %s\n", r.Outcome, r.Reason, r.Detail)
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	io.WriteString(w, text)
 }
 
 func refusalStatus(r *Refusal) int {
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -17,9 +17,19 @@
 
 // inbound is a request as it arrived.
 type inbound struct {
-	r    *http.Request
-	w    http.ResponseWriter
-	body *inboundBody
+	r         *http.Request
+	w         http.ResponseWriter
+	body      *inboundBody
+	delivered bool // the answer or refusal was written whole
+}
+
+// release ends the use of the request body before the handler returns.
+func (in *inbound) release() {
+	linger := time.Duration(0)
+	if in.delivered {
+		linger = bodyLinger
+	}
+	in.body.release(linger)
 }
 
 // uri is the request target in the form that goes to a server.
--- /dev/null
+++ b/toucannode/stop_test.go
@@ -0,0 +1,193 @@
+package toucannode
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucancall"
+)
+
+// A backend server that is leaving must refuse new calls as not run, and its
+// entry must choose another one for the same call.
+func TestLeavingMovesCallsToAnotherServer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") })
+	first, second := f.node("ordini", handler), f.node("ordini", handler)
+	entry := f.node("", nil)
+	resp, err := http.Post("http://"+first.Addresses().Admin+"/drain", "", nil)
+	is.NoErr(err)
+	var s status
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&s))
+	resp.Body.Close()
+	is.True(s.Leaving)
+	is.Equal(s.ID, first.ID())
+	f.directory.Announce("ordini", first.self(ServerAlive)) // the word has not spread yet
+	for range 20 {
+		resp, _ := f.do(entry, "POST", "/orders", strings.NewReader("cup"))
+		is.Equal(outcome(resp), "answered")
+	}
+	is.Equal(len(f.log.lines("request_run")), 20)
+	is.Equal(second.local.running(), 0)
+	resp, _ = f.do(first, "POST", "/orders", strings.NewReader("cup"))
+	is.Equal(outcome(resp), "answered") // as an entry it still serves
+	first.announce("ordini", first.local.address)
+	is.True(!first.local.leaving) // an announcement ends the drain
+}
+
+// A planned stop must let the running call, its child call and its answer end,
+// refuse what comes later, and end soon after.
+func TestStopCutsOffNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	f.node("magazzino", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "3 left") }))
+	var node *Node
+	var ready sync.WaitGroup
+	ready.Add(1)
+	node = f.node("ordini", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ready.Wait()
+		close(started)
+		<-release
+		child, body := f.do(node, "GET", "/stock", nil, toucancall.HeaderService, "magazzino",
+			toucancall.HeaderParent, r.Header.Get(toucancall.HeaderParent))
+		io.WriteString(w, outcome(child)+" "+body)
+	}))
+	ready.Done()
+	entry := f.node("", nil)
+	type result struct {
+		outcome, body string
+	}
+	answered := make(chan result)
+	go func() {
+		resp, body := f.do(entry, "POST", "/orders", strings.NewReader("cup"))
+		answered <- result{outcome(resp), body}
+	}()
+	<-started
+	stopped := make(chan error)
+	go func() { stopped <- node.Stop(context.Background()) }()
+	await(t, func() bool {
+		return node.closing.Load() && f.directory.BackendServers("ordini")[0].State == ServerLeaving
+	})
+	resp, _ := f.do(entry, "POST", "/orders", strings.NewReader("cup"))
+	is.Equal(outcome(resp), "not_run no_backend")
+	close(release)
+	is.Equal(<-answered, result{"answered", "answered 3 left"})
+	is.NoErr(<-stopped)
+	is.Equal(len(f.log.lines("request_run")), 2)
+}
+
+// A stop that exceeds its timeout must end and say so.
+func TestStopTimeout(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.settings.StopTimeout = 300 * time.Millisecond
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	node := f.node("ordini", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}))
+	req, err := http.NewRequest("GET", "http://"+node.Addresses().Caller+"/", nil)
+	is.NoErr(err)
+	req.Header.Set(toucancall.HeaderService, "ordini")
+	go func() {
+		if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-started
+	is.True(node.Stop(context.Background()) != nil)
+}
+
+// A child call must carry the identity of its parent whatever its own headers
+// say, and never more than the lent part of the allowance and of the time.
+func TestChildCallsInherit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	var got http.Header
+	var arrived time.Time
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, arrived = r.Header.Clone(), time.Now()
+		w.Header().Set(toucancall.HeaderOutcome, "answered")
+		w.Header().Set(toucancall.HeaderThreshold, "7.5")
+		w.Header().Set(toucancall.HeaderRetriesLeft, "99")
+	}))
+	defer peer.Close()
+	f.directory.Announce("magazzino", BackendServer{NodeID: "m", PeerAddress: peer.Listener.Addr().String(), State: ServerAlive})
+	n := f.node("", nil)
+	call := toucancall.Call{
+		RequestID: "r1", Service: "ordini", Tenant: "shop7", Class: "place_order", Rank: 9, Level: 4,
+		Deadline: time.Now().Add(2 * time.Second), Retries: 3, Depth: 1,
+	}
+	p := newParent(call)
+	n.parents.add(p)
+	resp, _ := f.do(n, "GET", "/stock", nil, toucancall.HeaderService, "magazzino", toucancall.HeaderParent, p.token,
+		toucancall.HeaderTenant, "other", toucancall.HeaderRank, "0", toucancall.HeaderLevel, "0", toucancall.HeaderRetries, "3",
+		toucancall.HeaderRequestID, "r2", toucancall.HeaderTimeout, "60000")
+	is.Equal(outcome(resp), "answered")
+	child, err := toucancall.FromNode(got, arrived)
+	is.NoErr(err)
+	is.True(child.Deadline.Sub(call.Deadline) < time.Second) // the remaining time takes a moment to travel
+	child.Deadline = time.Time{}
+	is.Equal(child, toucancall.Call{
+		RequestID: "r1", Service: "magazzino", Tenant: "shop7", Class: "place_order", Rank: 9, Level: 4, Retries: 1, Depth: 2,
+	})
+	is.Equal(got.Get(toucancall.HeaderParent), "")
+	left, threshold := p.report()
+	is.Equal(left, 3) // a faulty peer returns no more than it was lent
+	is.Equal(threshold, Threshold{Rank: 7, Level: 5})
+
+	p.call.Depth = toucancall.MaxDepth
+	resp, _ = f.do(n, "GET", "/stock", nil, toucancall.HeaderService, "magazzino", toucancall.HeaderParent, p.token)
+	is.Equal(outcome(resp), "not_run too_deep")
+}
+
+// The retry allowance of a request bounds its attempts, whatever fails.
+func TestAttemptsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	for range 10 {
+		b := newRawBackend(t, "", false)
+		node := f.node("", nil)
+		node.announce("ordini", b.Addr().String())
+	}
+	got, _ := f.try(f.node("", nil), "GET", "/orders", "2000")
+	is.Equal(got, "unknown connection_lost")
+	is.True(len(f.log.lines("request_run")) > 1)
+	is.True(len(f.log.lines("request_run")) <= 1+toucancall.MaxRetries)
+}
+
+func TestAdminListener(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	plain := f.node("", nil)
+	f.settings.Pprof = true
+	profiled := f.node("", nil)
+	get := func(n *Node, method, path, body string) int {
+		req, err := http.NewRequest(method, "http://"+n.Addresses().Admin+path, strings.NewReader(body))
+		is.NoErr(err)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	is.Equal(get(plain, "GET", "/healthz", ""), 200)
+	is.Equal(get(plain, "GET", "/debug/pprof/", ""), 404)
+	is.Equal(get(profiled, "GET", "/debug/pprof/", ""), 200)
+	is.Equal(get(plain, "POST", "/announce", `{"service":"ordini","address":"127.0.0.1:0"}`), 400)
+	is.Equal(get(plain, "POST", "/announce", `{"service":"","address":"127.0.0.1:1"}`), 400)
+	is.Equal(get(plain, "POST", "/announce", `not json`), 400)
+	is.Equal(get(plain, "POST", "/announce", `{"service":"ordini","address":"127.0.0.1:1"}`), 204)
+	is.Equal(f.directory.BackendServers("ordini")[0].NodeID, plain.ID())
+	is.Equal(get(plain, "GET", "/announce", ""), 405)
+}
