toucanadmission, toucanscenario: shorten the onset of overload

Cause: at the start of a flood whole ranks were closed for about a second. Calls that a deeper service would refuse counted as demand on the service before it; the limit grew more slowly than the queue, so a short queue closed ranks while slots were idle; a closed gate took 300 ms to try again and kept old answers for a second.

Now demand is counted after the subtree's threshold, each step of a growing limit starts a new grace period, idle slots are used whatever the threshold says, levels rise more gently, and gates forget answers after 300 ms.

The policies for floods of the most urgent rank have a table of their own.

--- a/cmd/toucanbench/main.go
+++ b/cmd/toucanbench/main.go
@@ -15,12 +15,15 @@
 // defaultSeed makes runs without flags repeatable.
 const defaultSeed = 1
 
+// tradeName selects the comparison of policies, which is no scenario.
+const tradeName = "trade"
+
 func main() {
 	seed, name, topology, method := uint64(defaultSeed), "", "", ""
 	flaggy.SetName("toucanbench")
 	flaggy.SetDescription("plays the overload scenarios in virtual time and prints their tables")
 	flaggy.UInt64(&seed, "", "seed", "seed of the random source")
-	flaggy.String(&name, "", "scenario", "name of the only scenario to play")
+	flaggy.String(&name, "", "scenario", "name of the only scenario to play, or trade")
 	flaggy.String(&topology, "", "topology", "name of the only deployment to play")
 	flaggy.String(&method, "", "method", "name of the only method to play")
 	flaggy.Parse()
@@ -37,13 +40,16 @@
 			}
 		}
 	}
-	if len(chosen) == 0 {
+	if len(chosen) == 0 && name != tradeName {
 		fmt.Fprintf(os.Stderr, "no scenario %q for deployment %q\n", name, topology)
 		os.Exit(1)
 	}
 	for _, sc := range chosen {
 		toucanscenario.Print(os.Stdout, runAll(sc, methods, seed))
 	}
+	if name == tradeName || name == "" && topology == "" {
+		toucanscenario.PrintTrade(os.Stdout, seed)
+	}
 }
 
 // runAll plays one scenario with all methods at the same time; runs share no
--- a/toucanadmission/admission_test.go
+++ b/toucanadmission/admission_test.go
@@ -51,6 +51,57 @@
 	is.Equal(c.Offer(Work{ID: 101, Rank: browseRank}).Verdict, Refuse)
 }
 
+// Guards against a limit that drifts up on its own noise, or down because the
+// service times change or a deeper service is slow. The bounds are one step of
+// a probe beside the slots.
+func TestLimitFollowsSlots(t *testing.T) {
+	tests := []struct {
+		name  string
+		slots int
+		slow  float64       // factor on own time in the second half
+		child time.Duration // in the second half
+	}{
+		{"30_slots", 30, 1, 0},
+		{"300_slots", 300, 1, 0},
+		{"slow_server", 30, 10, 0},
+		{"slow_child", 200, 1, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			clock, rng := newTestClock(), rand.New(rand.NewPCG(1, 2))
+			c := NewController(clock)
+			const steps = 40
+			for step := range steps {
+				factor, child := 1.0, time.Duration(0)
+				if step >= steps/2 {
+					factor, child = tt.slow, tt.child
+				}
+				saturate(c, clock, rng, tt.slots, factor, child, 3*time.Second)
+				if step > steps/4 {
+					is.True(float64(c.limiter.settled()) >= downFactor*float64(tt.slots))
+					is.True(float64(c.limiter.settled()) <= upFactor*upFactor*float64(tt.slots))
+				}
+			}
+		})
+	}
+}
+
+// saturate keeps the limit reached for a while. Own times are 20 ms with
+// noise, and grow in proportion once more calls run than there are slots.
+func saturate(c *Controller, clock *toucanclock.Manual, rng *rand.Rand, slots int, factor float64, child, length time.Duration) {
+	end := clock.Now().Add(length)
+	for clock.Now().Before(end) {
+		limit := c.limiter.current()
+		mean := 0.02 * factor * max(1, float64(limit)/float64(slots))
+		hold := time.Duration(mean*float64(time.Second)) + child
+		clock.Advance(hold / time.Duration(limit))
+		own := time.Duration(mean * (0.5 + 0.5*rng.ExpFloat64()) * float64(time.Second))
+		now := clock.Now()
+		c.limiter.sample(now.Add(-hold), now, own)
+	}
+}
+
 // Guards against one faulty backend server whose absurd threshold shuts off
 // the service for everybody.
 func TestGateIgnoresAbsurdThreshold(t *testing.T) {
--- a/toucanadmission/controller.go
+++ b/toucanadmission/controller.go
@@ -124,20 +124,22 @@
 func (c *Controller) Offer(w Work) Decision {
 	now := c.clock.Now()
 	level := c.level(w, now)
-	use := c.shedder.use(w.Rank, now)
+	use := c.shedder.rank(w.Rank, now)
 	use.last = now
-	use.counts[level]++
 	if !w.Deadline.IsZero() && !now.Add(c.expected()).Before(w.Deadline) {
 		return Decision{Verdict: Refuse, Level: level, Reason: toucancall.ReasonDeadline}
 	}
+	if w.Subtree != (Threshold{}) && !w.Subtree.Admits(w.Rank, level) {
+		return c.refuse(level, w.Subtree.Rank == w.Rank)
+	}
+	// What a deeper service refuses is no demand on this one.
+	use.counts[level]++
 	// Work has already been spent on a child call, and its senders learn the
 	// threshold with a delay. Only a filling queue refuses it.
-	if level > use.level && (w.Depth == 0 || len(c.queue) > c.queueBound()/2) {
+	// The threshold lags behind the load, so calls after it may use idle slots.
+	if level > use.level && !c.idle() && (w.Depth == 0 || len(c.queue) > c.queueBound()/2) {
 		return c.refuse(level, use.level >= 0)
 	}
-	if w.Subtree != (Threshold{}) && !w.Subtree.Admits(w.Rank, level) {
-		return c.refuse(level, w.Subtree.Rank == w.Rank)
-	}
 	c.seq++
 	if len(c.running) < c.limiter.current() && len(c.queue) == 0 {
 		c.start(w.ID, now)
@@ -147,6 +149,13 @@
 	return c.wait(w, level, use, now)
 }
 
+// idleShare is the part of the limit below which the threshold refuses nothing.
+const idleShare = 0.8
+
+func (c *Controller) idle() bool {
+	return len(c.queue) == 0 && float64(len(c.running)) < idleShare*float64(c.limiter.current())
+}
+
 // refuse names the tenant's share as the reason when part of the rank is
 // admitted, because then only the tenant's rate decides.
 func (c *Controller) refuse(level int, rankAdmitted bool) Decision {
@@ -330,7 +339,7 @@
 // ThresholdFor returns the threshold for calls of one rank, which an answer to
 // such a call carries. Under a policy with floors it differs from rank to rank.
 func (c *Controller) ThresholdFor(r toucanclass.Rank) Threshold {
-	u := c.shedder.use(r, c.clock.Now())
+	u := c.shedder.rank(r, c.clock.Now())
 	switch {
 	case u.level >= toucancall.MaxLevel:
 		return Open
--- a/toucanadmission/gate.go
+++ b/toucanadmission/gate.go
@@ -20,13 +20,16 @@
 	agreeingShare        = 0.75
 	// observationLife bounds the age of observations that decide together,
 	// beyond the newest minObservations.
-	observationLife = time.Second
+	observationLife = 300 * time.Millisecond
 	// agingStart is how long the last observation holds unchanged. After that
 	// agingLevels more levels are admitted each agingStep, so that a service
 	// that no call reaches is tried again gently.
-	agingStart  = 300 * time.Millisecond
+	agingStart  = 200 * time.Millisecond
 	agingStep   = 50 * time.Millisecond
 	agingLevels = 8
+	// agingFirst admits about one call a second of every tenant, with which a
+	// rank that was closed entirely is tried again.
+	agingFirst = 35
 	// maxGates bounds the pairs of service and class tracked.
 	maxGates = 8_192
 	// gateIdle is how long an unused pair is kept when room is needed.
@@ -172,10 +175,9 @@
 	if age < agingStart || s.agreed == Open {
 		return s.agreed
 	}
-	extra := agingLevels * int((age-agingStart)/agingStep+1)
-	t := Threshold{Rank: r, Level: extra}
+	t := Threshold{Rank: r, Level: agingFirst + agingLevels*int((age-agingStart)/agingStep)}
 	if s.agreed.Rank == r {
-		t.Level += s.agreed.Level
+		t.Level = max(t.Level, s.agreed.Level+agingLevels)
 	}
 	if t.Level >= toucancall.MaxLevel {
 		return Open
--- a/toucanadmission/limit.go
+++ b/toucanadmission/limit.go
@@ -23,7 +23,7 @@
 	windowError = 0.035
 	minSamples  = 60
 	maxSamples  = 800
-	growSamples = 40
+	growSamples = 20
 	// maxWindow ends a comparison that gets too few samples to be current.
 	maxWindow = 3 * time.Second
 	// probePause is the time between probes.
@@ -106,7 +106,7 @@
 // samples returns how many samples the current window needs.
 func (l *limiter) samples() int {
 	if l.phase == phaseGrow {
-		return max(l.current(), growSamples)
+		return max(l.current()/4, growSamples)
 	}
 	mean := l.sum / float64(l.n)
 	variance := max(l.squares/float64(l.n)-mean*mean, 0)
@@ -149,7 +149,7 @@
 	// that the step added waiting rather than throughput.
 	if l.before > 0 && mean > l.before*(1+0.5*(l.limit/l.beforeAt-1)) {
 		l.set(l.beforeAt)
-		l.phase, l.probeUp, l.probeNext = phaseHold, true, now.Add(probePause)
+		l.phase, l.probeUp, l.probeNext = phaseHold, false, now
 		return
 	}
 	l.before, l.beforeAt = mean, l.limit
--- a/toucanadmission/shed.go
+++ b/toucanadmission/shed.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// growGrace is how long a queue is tolerated while the limit grows.
+	// growGrace is how long a queue is tolerated after a step of the limit
+	// while the limit still grows.
 	growGrace = 300 * time.Millisecond
 	// controlInterval is the time between two settings of the threshold.
 	controlInterval = 100 * time.Millisecond
@@ -20,21 +21,21 @@
 	maxDelayTarget = 25 * time.Millisecond
 	delayShare     = 0.25
 	// rateWeight smooths measured rates from interval to interval.
-	rateWeight = 0.3
+	rateWeight = 0.4
 	// Rates of levels that the threshold hides from this node are remembered,
 	// because entries no longer send them. They age slowly at full use and the
 	// faster the more capacity is idle, because then the hidden demand is
 	// overestimated. seenDecay ages them once the level is admitted again.
 	busyDecay = 0.99
 	idleDecay = 0.8
-	seenDecay = 0.8
+	seenDecay = 0.9
 	busyUse   = 0.95
 	idleUse   = 0.6
 	// The threshold rises by at most riseBusy levels an interval at full use,
 	// because the demand behind it is known only from memory, and by up to
 	// riseIdle more when capacity is idle.
 	riseBusy = 2
-	riseIdle = 128
+	riseIdle = 48
 	// The admitted rate is the estimated capacity (limit over mean time of a
 	// call) times a gain, which falls while the queueing delay is over its
 	// target and rises while it is under it.
@@ -112,17 +113,19 @@
 	queueCount int
 	overflowed bool
 
-	overloadedFor time.Duration // while the limit grows
+	overloadedFor time.Duration // since the limit last grew
+	lastLimit     int
 
+	use      float64 // of the limit, smoothed
 	idle     float64 // 0 at full use, 1 when much capacity is idle
 	ownMean  float64 // own seconds of a call
 	holdMean float64 // seconds of a call at the backend server
 	capacity float64 // calls a second that the backend server can finish
 }
 
-// use returns the entry of a rank. When the table is full the next less urgent
+// rank returns the entry of a rank. When the table is full the next less urgent
 // rank stands in for it, so an unknown rank is never ranked up.
-func (s *shedder) use(r toucanclass.Rank, now time.Time) *rankUse {
+func (s *shedder) rank(r toucanclass.Rank, now time.Time) *rankUse {
 	i, found := slices.BinarySearchFunc(s.ranks, r, func(u *rankUse, r toucanclass.Rank) int {
 		if u.rank < r {
 			return -1
@@ -165,6 +168,10 @@
 	delay, target := s.delay(), s.delayTarget()
 	overloaded := delay > target || s.overflowed
 	s.overflowed = false
+	if st.limit > s.lastLimit {
+		s.overloadedFor = 0
+	}
+	s.lastLimit = st.limit
 	switch {
 	case !s.active && !overloaded:
 		s.overloadedFor = 0
@@ -193,12 +200,11 @@
 		s.finished, s.ownSum, s.holdSum = 0, 0, 0
 	}
 	s.capacity = float64(st.limit) / max(s.holdMean, minHold)
-	use := 0.0
 	if s.queueCount > 0 {
-		use = s.useSum / float64(s.queueCount)
+		s.use += rateWeight * (s.useSum/float64(s.queueCount) - s.use)
 	}
 	s.useSum = 0
-	s.idle = min(max((busyUse-use)/(busyUse-idleUse), 0), 1)
+	s.idle = min(max((busyUse-s.use)/(busyUse-idleUse), 0), 1)
 	decay := busyDecay + s.idle*(idleDecay-busyDecay)
 	for _, u := range s.ranks {
 		for i := range u.rates {
--- a/toucanscenario/report.go
+++ b/toucanscenario/report.go
@@ -106,6 +106,7 @@
 	Good     float64 // requests a second
 	Ideal    float64 // requests a second
 	Ordinary float64 // least part of the fair share that ordinary tenants got
+	Kept     float64 // part of the ordinary tenants' requests that was answered on time
 	P99      time.Duration
 }
 
@@ -137,6 +138,9 @@
 			Ideal: min(ideal[i], float64(c.offered)/seconds),
 			P99:   percentile(c.latencies, 0.99),
 		}
+		if c.ordinaryOffered > 0 {
+			cr.Kept = float64(c.ordinaryGood) / float64(c.ordinaryOffered)
+		}
 		cr.Ordinary = sc.ordinaryShare(c, cr.Ideal*seconds)
 		r.Goodput += cr.Good
 		r.Ideal += cr.Ideal
