--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -172,7 +173,7 @@
 	leaving map[string]bool
 }
 
-func (d *fileDirectory) BackendServers(service string) []toucannode.BackendServer {
+func (d *fileDirectory) BackendServers(_ context.Context, service string) []toucannode.BackendServer {
 	servers := d.read(service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -205,6 +206,8 @@
 	d.leaving[service+nodeID] = true
 }
 
+func (d *fileDirectory) MarkUnreachable(string, string) {}
+
 func (d *fileDirectory) Announce(service string, self toucannode.BackendServer) {
 	d.write(service, self)
 }
--- a/toucannode/node_test.go
+++ b/toucannode/node_test.go
@@ -86,9 +86,7 @@
 	}
 	f.t.Cleanup(func() {
 		if !n.closing.Load() {
-			ctx, cancel := context.WithCancel(context.Background())
-			cancel() // the test is over; nothing is worth waiting for
-			_ = n.Stop(ctx)
+			_ = n.Stop(cancelled())
 		}
 	})
 	return n
@@ -139,3 +137,10 @@
 	is.Equal(len(f.log.lines("request_run")), 1)
 	is.Equal(len(f.log.lines("request_start")), 1)
 }
+
+// cancelled returns the context of a stop that waits for nothing.
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
--- a/toucannode/stop_test.go
+++ b/toucannode/stop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
 )
 
@@ -76,7 +77,7 @@
 	stopped := make(chan error)
 	go func() { stopped <- node.Stop(context.Background()) }()
 	await(t, func() bool {
-		return node.closing.Load() && f.directory.BackendServers("ordini")[0].State == ServerLeaving
+		return node.closing.Load() && f.directory.BackendServers(t.Context(), "ordini")[0].State == ServerLeaving
 	})
 	resp, _ := f.do(entry, "POST", "/orders", strings.NewReader("cup"))
 	is.Equal(outcome(resp), "not_run no_backend")
@@ -145,7 +146,7 @@
 	is.Equal(got.Get(toucancall.HeaderParent), "")
 	left, threshold := p.report()
 	is.Equal(left, 3) // a faulty peer returns no more than it was lent
-	is.Equal(threshold, Threshold{Rank: 7, Level: 5})
+	is.Equal(threshold, toucanadmission.Threshold{Rank: 7, Level: 5})
 
 	p.call.Depth = toucancall.MaxDepth
 	resp, _ = f.do(n, "GET", "/stock", nil, toucancall.HeaderService, "magazzino", toucancall.HeaderParent, p.token)
@@ -188,6 +189,6 @@
 	is.Equal(get(plain, "POST", "/announce", `{"service":"","address":"127.0.0.1:1"}`), 400)
 	is.Equal(get(plain, "POST", "/announce", `not json`), 400)
 	is.Equal(get(plain, "POST", "/announce", `{"service":"ordini","address":"127.0.0.1:1"}`), 204)
-	is.Equal(f.directory.BackendServers("ordini")[0].NodeID, plain.ID())
+	is.Equal(f.directory.BackendServers(t.Context(), "ordini")[0].NodeID, plain.ID())
 	is.Equal(get(plain, "GET", "/announce", ""), 405)
 }
