--- a/toucanbalance/subset.go
+++ b/toucanbalance/subset.go
@@ -37,20 +37,21 @@
 
 func sortByHash(entry string, servers []Server) []Server {
 	type scored struct {
-		hash   uint64
-		server Server
+		hash  uint64
+		index int
 	}
 	all := make([]scored, len(servers))
 	for i, s := range servers {
-		all[i] = scored{Hash(entry, s.ID), s}
+		all[i] = scored{Hash(entry, s.ID), i}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.server.ID, b.server.ID))
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(servers[a.index].ID, servers[b.index].ID))
 	})
+	out := make([]Server, len(all))
 	for i, s := range all {
-		servers[i] = s.server
+		out[i] = servers[s.index]
 	}
-	return servers
+	return out
 }
 
 // Hash is the rendezvous hash of a pair of names: FNV-1a with a final mix,
--- a/toucanmember/group.go
+++ b/toucanmember/group.go
@@ -50,11 +50,16 @@
 	floor    uint64 // deltas since a lower version are incomplete
 	revision uint64
 
-	queue  []*record // changes that are still sent along
-	urgent bool      // a change waits for its first transmission
-	dirty  bool      // ring and digest are out of date
-	ring   []string  // members that are probed in turn, with self, sorted
-	digest uint64
+	queue   []*record // changes that are still sent along
+	urgent  bool      // a change waits for its first transmission
+	joining bool      // taking over a whole view, which the others know already
+	dirty   bool      // ring and digest are out of date
+	ring    []string  // members that are probed in turn, with self, sorted
+	digest  uint64
+
+	liveVersion uint64 // version of the two lists below
+	liveMembers []Member
+	liveServers []toucanbalance.Server
 
 	sequence uint64
 	pending  map[uint64]*attempt
@@ -150,10 +155,10 @@
 func (g *Group) touch(r *record, now time.Time) {
 	g.version++
 	r.version, r.changed = g.version, now
-	g.send(r, 3*bits.Len(uint(len(g.members)))+fanOut)
 	g.dirty = true
-	if r.State != Removed {
-		g.urgent = true
+	if !g.joining {
+		g.send(r, 3*bits.Len(uint(len(g.members)))+fanOut)
+		g.urgent = g.urgent || r.State != Removed
 	}
 	g.emit(StateChanged{r.Member})
 }
@@ -389,6 +394,8 @@
 
 // syncAnswered takes in the other's part and queues what the other lacks.
 func (g *Group) syncAnswered(a SyncAnswer, now time.Time) {
+	g.joining = len(g.members) == 1
+	defer func() { g.joining = false }()
 	g.merge(a.From, now)
 	theirs := make(map[string]Member, len(a.Members))
 	for _, m := range a.Members {
@@ -410,16 +417,23 @@
 
 // View returns all members that are not removed.
 func (g *Group) View() View {
-	return View{Version: g.version, Members: g.live()}
+	return View{Version: g.version, Members: slices.Clone(g.live())}
 }
 
-func (g *Group) live() (out []Member) {
+// live returns the members that are not removed, sorted. The result is shared
+// until the version changes.
+func (g *Group) live() []Member {
+	if g.liveVersion == g.version {
+		return g.liveMembers
+	}
+	g.liveVersion, g.liveMembers = g.version, make([]Member, 0, len(g.members))
 	for _, id := range sortedKeys(g.members) {
 		if r := g.members[id]; r.State != Removed {
-			out = append(out, r.Member)
+			g.liveMembers = append(g.liveMembers, r.Member)
 		}
 	}
-	return out
+	g.liveServers = servers(g.liveMembers)
+	return g.liveMembers
 }
 
 // ViewSince answers an entry's poll: nothing when the entry's view is up to
@@ -434,7 +448,7 @@
 	view := g.live()
 	subset := min(max(r.Subset, 1), maxSubset)
 	if len(view) > subset {
-		view = subsetOf(view, r, subset)
+		view = g.subset(r, subset)
 	} else if r.Version >= g.floor && r.Version < g.version {
 		a.Members = g.since(r.Version)
 		return a
@@ -454,15 +468,11 @@
 	return out
 }
 
-func subsetOf(view []Member, r ViewRequest, n int) []Member {
-	byID := make(map[string]Member, len(view))
-	for _, m := range view {
-		byID[m.ID] = m
-	}
-	chosen := toucanbalance.Subset(r.Entry, r.DataCentre, servers(view), n)
+func (g *Group) subset(r ViewRequest, n int) []Member {
+	chosen := toucanbalance.Subset(r.Entry, r.DataCentre, g.liveServers, n)
 	out := make([]Member, len(chosen))
 	for i, s := range chosen {
-		out[i] = byID[s.ID]
+		out[i] = g.members[s.ID].Member
 	}
 	return out
 }
--- a/toucanmember/keeper.go
+++ b/toucanmember/keeper.go
@@ -19,6 +19,9 @@
 	keepPeriod = time.Second
 	// keeperPause is how long the contacts must be wrong before they are replaced.
 	keeperPause = 3 * time.Second
+	// keeperSpread keeps the keepers of hundreds of services, which a lost data
+	// centre affects at once, from writing in the same second.
+	keeperSpread = 10 * time.Second
 	// keeperDelay is how much longer the second keeper waits than the first.
 	keeperDelay = 10 * time.Second
 	// rereadPeriod is how often the first keeper reads the contacts without cause,
@@ -30,6 +33,8 @@
 	// another contact is alive. Regions are cut off from each other for an hour;
 	// both sides would otherwise replace each other's contacts all that time.
 	staleContact = 90 * time.Minute
+	// staleSpread spreads the replacement of contacts that went at the same time.
+	staleSpread = 30 * time.Minute
 )
 
 // keeper is a member's knowledge of the contacts in the KV.
@@ -92,7 +97,7 @@
 	if k.badSince.IsZero() {
 		k.badSince = now
 	}
-	if now.Sub(k.badSince) >= time.Duration(rank)*keeperDelay+k.pause() {
+	if now.Sub(k.badSince) >= time.Duration(rank)*keeperDelay+k.pause(g.self.ID) {
 		k.busy = now.Add(kvTimeout)
 		g.emit(WriteContacts{Addresses: want, Index: k.index})
 	}
@@ -101,11 +106,16 @@
 // pause gives contacts that this member has not met time to answer, and a view
 // that is still growing time to settle. A service without contacts gets its
 // first one at once.
-func (k *keeper) pause() time.Duration {
+func (k *keeper) pause(self string) time.Duration {
 	if len(k.addresses) == 0 {
 		return 0
 	}
-	return keeperPause
+	return keeperPause + spreadOver(keeperSpread, self)
+}
+
+// spreadOver returns a share of d that depends on the name.
+func spreadOver(d time.Duration, name string) time.Duration {
+	return time.Duration(toucanbalance.Hash("spread", name) % uint64(d))
 }
 
 // kvTimeout is the time after which a read or write of the KV that brought no
@@ -178,7 +188,7 @@
 			live = append(live, id)
 			delete(k.missing, id)
 		case r != nil && (r.left || r.State == toucanbalance.Leaving):
-		case now.Sub(g.missingSince(id, now)) < staleContact:
+		case now.Sub(g.missingSince(id, now)) < staleContact+spreadOver(staleSpread, id):
 			gone = append(gone, id)
 		}
 	}
