toucannode: test keys at a leaving node

Guards against answering not_run for a key that ran, and against running a key after it was refused. Asking for the key after the leaving check, tried on a scratch copy, fails the test.

--- a/toucannode/stop_test.go
+++ b/toucannode/stop_test.go
@@ -191,3 +191,26 @@
 	is.Equal(f.directory.BackendServers("ordini")[0].NodeID, plain.ID())
 	is.Equal(get(plain, "GET", "/announce", ""), 405)
 }
+
+// An at-most-once key that ran must get its answer again, also from a node that
+// is leaving, and one that was refused must never run later.
+func TestKeysAtALeavingNode(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	node := f.node("ordini", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "order 1") }))
+	order := func(key string) string {
+		resp, body := f.do(node, "POST", "/orders", strings.NewReader("cup"), toucancall.HeaderIdempotencyKey, key)
+		if outcome(resp) == "answered" {
+			return body
+		}
+		return outcome(resp)
+	}
+	is.Equal(order("ran"), "order 1")
+	node.drain()
+	f.directory.Announce("ordini", node.self(ServerAlive)) // the word has not spread yet
+	is.Equal(order("ran"), "order 1")
+	is.Equal(order("new"), "not_run leaving")
+	node.announce("ordini", node.local.address)
+	is.Equal(order("new"), "not_run key_refused")
+	is.Equal(len(f.log.lines("request_run")), 1)
+}
