toucannode: run keyed requests at most once

The node had a stand-in that remembered keys inside one process, so a request that arrived through another entry could run twice. The node is now the home of the service beside it and the entry of every keyed call: it carries out the effects of toucanonce.Attempt, claims caller-made keys in the KV, waits for a run in progress, confirms a run directly before its first byte and writes its seal at a planned stop. An issued key makes its request at-most-once whatever the class file says. The backend server sees the key that the caller sent.

toucankv: a session is bound to no health check, which the service would otherwise add by default.

--- a/toucancall/header.go
+++ b/toucancall/header.go
@@ -22,6 +22,7 @@
 	HeaderDepth          = "Toucan-Depth"
 	HeaderParent         = "Toucan-Parent"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderCallerKey      = "Toucan-Caller-Key" // key of the caller when the call travels under an issued key
 	HeaderOutcome        = "Toucan-Outcome"
 	HeaderReason         = "Toucan-Reason"
 	HeaderThreshold      = "Toucan-Threshold"
--- a/toucankv/client.go
+++ b/toucankv/client.go
@@ -131,7 +131,12 @@
 
 // CreateSession implements Store.
 func (c *Client) CreateSession(ctx context.Context, ttl time.Duration, end Behaviour) (session string, err error) {
-	body, err := json.Marshal(sessionRequest{TTL: ttl.String(), Behavior: string(end), LockDelay: "0s"})
+	// Sent empty, the lists of checks keep the service from binding the session to
+	// its default check, which could end the session before its TTL.
+	none := []string{}
+	body, err := json.Marshal(sessionRequest{
+		TTL: ttl.String(), Behavior: string(end), LockDelay: "0s", Checks: none, NodeChecks: none,
+	})
 	if err != nil {
 		return "", err
 	}
@@ -279,9 +284,11 @@
 }
 
 type sessionRequest struct {
-	TTL       string
-	Behavior  string
-	LockDelay string
+	TTL        string
+	Behavior   string
+	LockDelay  string
+	Checks     []string
+	NodeChecks []string
 }
 
 type sessionReply struct{ ID string }
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +22,7 @@
 	parent    *parent // nil for a request of a plain caller
 	allowance Allowance
 	once      bool // at most one run is allowed
+	lost      bool // bytes of an attempt were sent and no reply came
 	threshold Threshold
 }
 
@@ -61,7 +63,7 @@
 		return ctx, end, notRun(toucancall.ReasonBadRequest, err.Error())
 	}
 	class := e.class(call)
-	e.once = class.AtMostOnce
+	e.once = class.AtMostOnce || issuedKey(call.IdempotencyKey)
 	if r.Method == http.MethodConnect {
 		return ctx, end, notRun(toucancall.ReasonBadRequest, "method CONNECT is not supported")
 	}
@@ -138,17 +140,10 @@
 		return e.refuse(ctx, notRun(reason, ""))
 	}
 	e.call = e.call.WithLevel(level)
-	home := ""
-	if e.once {
-		if home, refusal = n.once.Home(ctx, e.call); refusal != nil {
-			return &reply{refusal: refusal}
-		}
-	}
-	rep := e.attempts(ctx, home)
-	if rep.own && rep.refusal.Outcome == toucancall.NotRun {
-		return e.refuse(ctx, rep)
+	if e.keyed() {
+		return e.serveKeyed(ctx)
 	}
-	return rep
+	return e.attempts(ctx, "")
 }
 
 func safeMethod(method string) bool {
@@ -162,14 +157,14 @@
 // refuse ends a call that this entry did not forward. A key is first marked
 // refused at its home.
 func (e *entry) refuse(ctx context.Context, rep *reply) *reply {
-	if !e.once || e.call.IdempotencyKey == "" {
+	if !e.keyed() {
 		return rep
 	}
-	outcome, reason := e.n.once.Refuse(ctx, e.call)
-	if outcome == toucancall.NotRun {
+	refusal := e.n.once.Refuse(ctx, e.call, rep.refusal.Reason)
+	if refusal.Outcome == toucancall.NotRun {
 		return rep
 	}
-	return refused(outcome, reason, string(rep.refusal.Reason))
+	return refused(refusal.Outcome, refusal.Reason, string(rep.refusal.Reason))
 }
 
 // attempts makes attempts until one is final. A call with a key goes to its
@@ -188,6 +183,7 @@
 			return e.last(last, toucancall.ReasonDeadline, "")
 		}
 		last = e.attempt(ctx, server, now)
+		e.lost = e.lost || last.own && last.refusal.Outcome != toucancall.NotRun
 		if last.refusal == nil || !e.mayRetry(last, home) {
 			return last
 		}
@@ -213,16 +209,10 @@
 }
 
 func (e *entry) choose(home string, tried []string) (BackendServer, bool) {
-	servers := e.n.directory.BackendServers(e.call.Service)
-	if home == "" {
-		return e.n.chooser.Choose(e.call.Service, servers, tried)
-	}
-	for _, s := range servers {
-		if s.NodeID == home {
-			return s, true
-		}
+	if home != "" {
+		return e.n.findServer(e.call.Service, home)
 	}
-	return BackendServer{}, false
+	return e.n.chooser.Choose(e.call.Service, e.n.directory.BackendServers(e.call.Service), tried)
 }
 
 // mayRetry reports whether another attempt can do no harm and may help.
@@ -251,6 +241,7 @@
 	var rep *reply
 	if server.NodeID == n.id {
 		rep = n.run(ctx, call, e.in)
+		rep.own = false // the run has settled its key
 	} else {
 		rep = n.callPeer(ctx, call, server.PeerAddress, e.in)
 	}
@@ -265,6 +256,9 @@
 		a.Outcome, a.Reason = rep.refusal.Outcome, rep.refusal.Reason
 	}
 	done := func() {
+		if e.keyed() {
+			return // the key named the server, Choose did not
+		}
 		a.Latency = n.clock.Now().Sub(now)
 		n.chooser.Done(call.Service, server.NodeID, a)
 	}
@@ -293,6 +287,7 @@
 	extra := make(http.Header, 16)
 	call.SetHeaders(extra, n.clock.Now())
 	extra[toucancall.HeaderTenant] = optional(call.Tenant)
+	extra[toucancall.HeaderCallerKey] = optional(callerKey(call, in.r))
 	out := in.outgoing(extra)
 	x, err := n.peers.send(ctx, call.Deadline.Add(peerGrace), address, out, forwardInterim(in.w))
 	if err != nil {
@@ -338,6 +333,7 @@
 		n.deliver(w, notRun(toucancall.ReasonBadRequest, err.Error()), in, true)
 		return
 	}
+	restoreCallerKey(r.Header)
 	var refusal *Refusal
 	if call.Depth > toucancall.MaxDepth {
 		refusal = &Refusal{Outcome: toucancall.NotRun, Reason: toucancall.ReasonTooDeep}
@@ -353,7 +349,12 @@
 
 const maxKeysIssued = 1000
 
-// serveKeys issues keys for at-most-once requests, one a line.
+// keysAnswer is the answer to POST /keys.
+type keysAnswer struct {
+	Keys []string `json:"keys"`
+}
+
+// serveKeys issues keys for at-most-once requests.
 func (n *Node) serveKeys(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
@@ -378,6 +379,6 @@
 		http.Error(w, "toucanhaven: "+err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Write([]byte(strings.Join(keys, "\n") + "\n"))
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(keysAnswer{Keys: keys}) // a caller that left needs no keys
 }
--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -21,8 +21,12 @@
 	header            http.Header // end-to-end fields
 	extra             http.Header // fields of the hop, which replace those in header
 	body              *inboundBody
+	confirm           func() bool // asked directly before the first byte; nil when nothing depends on it
 }
 
+// errNotConfirmed ends a request that was no longer allowed to start.
+var errNotConfirmed = errors.New("the idempotency key expired before the request was sent")
+
 // sendError says how far a request came that has no answer.
 type sendError struct {
 	sent     bool // at least one byte of the request was written
@@ -59,7 +63,7 @@
 		}
 		x, err := p.sendOn(ctx, c, deadline, out, onInterim)
 		var failure *sendError
-		if reused && errors.As(err, &failure) && !failure.sent && ctx.Err() == nil && p.now().Before(deadline) {
+		if reused && errors.As(err, &failure) && !failure.sent && failure.err != errNotConfirmed && ctx.Err() == nil && p.now().Before(deadline) {
 			continue // the pooled connection was closed before a byte was written
 		}
 		return x, err
@@ -73,6 +77,10 @@
 	}
 	x = &exchange{pool: p, c: c}
 	x.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	if out.confirm != nil && !out.confirm() {
+		x.close()
+		return nil, &sendError{err: errNotConfirmed}
+	}
 	var sent atomic.Bool
 	if err = x.write(out, &sent); err == nil {
 		x.resp, err = readAnswer(c, out.method, onInterim)
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -18,6 +18,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclock"
+	"toucanhaven/toucankv"
 	"toucanhaven/toucansettings"
 )
 
@@ -49,6 +50,7 @@
 	Chooser    Chooser
 	Retries    Retries
 	Once       Once
+	KV         toucankv.Store // nil for a client of the address in the settings
 }
 
 // Addresses are the addresses on which a node listens.
@@ -71,6 +73,7 @@
 	chooser     Chooser
 	retries     Retries
 	once        Once
+	kv          toucankv.Store // nil without an address
 	id          string
 	incarnation int64
 	addresses   Addresses
@@ -82,6 +85,7 @@
 	metrics  *nodeMetrics
 	admin    *http.ServeMux
 	control  *rpc.Server
+	clients  *controlClients // to the control listeners of other nodes
 
 	listeners   []net.Listener // caller, peer, control, admin
 	servers     []*http.Server // caller, peer, admin
@@ -100,17 +104,23 @@
 func New(o Options) (n *Node, err error) {
 	n = &Node{
 		settings: o.Settings, log: o.Logger, clock: o.Clock, directory: o.Directory, files: o.ClassFiles,
-		admission: o.Admission, gate: o.Gate, chooser: o.Chooser, retries: o.Retries, once: o.Once,
+		admission: o.Admission, gate: o.Gate, chooser: o.Chooser, retries: o.Retries, once: o.Once, kv: o.KV,
 		admin: http.NewServeMux(), control: rpc.NewServer(), stopTicking: make(chan struct{}),
 		controlConns: map[net.Conn]bool{},
 	}
 	n.fillIn()
 	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
+	n.clients = &controlClients{clock: n.clock}
 	n.metrics = newNodeMetrics(n)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
 	n.incarnation = n.clock.Now().UnixNano()
+	if n.once == nil {
+		if n.once, err = newOnce(n); err != nil {
+			return nil, err
+		}
+	}
 	n.adminHandlers()
 	return n, nil
 }
@@ -141,8 +151,8 @@
 	if n.retries == nil {
 		n.retries = fixedRetries{}
 	}
-	if n.once == nil {
-		n.once = &memoryOnce{}
+	if n.kv == nil && n.settings.KVAddress.IsValid() {
+		n.kv = toucankv.NewClient(n.settings.KVAddress.String())
 	}
 }
 
@@ -281,6 +291,7 @@
 		case <-t.C:
 			n.peers.closeIdle()
 			n.backends.closeIdle()
+			n.clients.closeIdle()
 			n.checkBackend()
 		case <-n.stopTicking:
 			return
@@ -306,6 +317,7 @@
 	n.closeControl()
 	n.peers.close()
 	n.backends.close()
+	n.clients.close()
 	n.background.Wait()
 	n.log.Info("stopped", slog.Bool("whole", err == nil))
 	return err
--- a/toucannode/policy.go
+++ b/toucannode/policy.go
@@ -7,6 +7,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
+	"toucanhaven/toucanonce"
 )
 
 // ServerState says whether a backend server may be chosen. The set is closed.
@@ -119,23 +120,31 @@
 
 // Once keeps requests of at-most-once classes from running twice.
 type Once interface {
-	// Home returns the node that alone may run the key of the call, or an empty
-	// id when the call has no key. A refusal ends the call.
-	Home(ctx context.Context, c toucancall.Call) (nodeID string, r *Refusal)
+	// Enter takes a keyed call through its entry. It calls forward at most once,
+	// with the issued key under which the call goes to its home. A nil refusal
+	// means that the reply that forward received is the answer.
+	Enter(ctx context.Context, c toucancall.Call, forward Forward) *Refusal
+	// Refuse ends a keyed call that its entry refuses for the given reason. The
+	// key is first marked refused at its home, so that "not run" stays true.
+	Refuse(ctx context.Context, c toucancall.Call, reason toucancall.Reason) *Refusal
 	// Begin decides at the home whether the call runs. At most one of the
-	// results is set.
+	// results is set; none is for a call without a key.
 	Begin(ctx context.Context, c toucancall.Call) (run OnceRun, repeat *StoredAnswer, r *Refusal)
-	// Refuse marks the key of a call refused at its home, before the entry
-	// tells the caller that the call did not run.
-	Refuse(ctx context.Context, c toucancall.Call) (toucancall.Outcome, toucancall.Reason)
-	// Issue returns new keys for a service.
+	// Issue returns new keys for a service, at most count.
 	Issue(ctx context.Context, service string, count int) ([]string, error)
 	// Seal records at a planned stop which keys ran.
 	Seal(ctx context.Context) error
 }
 
+// Forward sends a call under an issued key to the home of the key. The reason is
+// empty unless the entry refuses the call instead.
+type Forward func(k toucanonce.Key) (toucanonce.Delivery, toucancall.Reason)
+
 // OnceRun is a run of an at-most-once request at its home.
 type OnceRun interface {
+	// Confirm reports whether the run may still start. It is called directly
+	// before the first byte goes to the backend server.
+	Confirm() bool
 	// Finish ends the run. The answer is nil when there is none to remember.
 	Finish(o toucancall.Outcome, r toucancall.Reason, a *StoredAnswer)
 	// Withdraw ends a run of which nothing reached the backend server. The key
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -106,7 +106,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return toucancall.ReasonCancelled
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errNotConfirmed):
 		return toucancall.ReasonDeadline
 	}
 	return toucancall.ReasonConnectionLost
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -52,7 +52,7 @@
 // nodeFields are the request fields that only nodes set.
 var nodeFields = []string{
 	toucancall.HeaderClass, toucancall.HeaderRank, toucancall.HeaderLevel,
-	toucancall.HeaderRetries, toucancall.HeaderDepth, toucancall.HeaderParent,
+	toucancall.HeaderRetries, toucancall.HeaderDepth, toucancall.HeaderParent, toucancall.HeaderCallerKey,
 }
 
 // local is the backend server beside the node.
@@ -109,7 +109,7 @@
 // run takes a call to the local backend server.
 func (n *Node) run(ctx context.Context, call toucancall.Call, in *inbound) *reply {
 	file, revision := n.files.ClassFile(call.Service)
-	r := &run{n: n, in: in, call: call, atMostOnce: file.Match(in.r.Method, in.r.URL.Path).AtMostOnce}
+	r := &run{n: n, in: in, call: call, atMostOnce: atMostOnce(file, call, in.r)}
 	rep := r.steps(ctx)
 	rep.hop.load, rep.hop.revision = n.admission.Load(), revision
 	if t := n.admission.Threshold(); t.Before(rep.hop.threshold) {
@@ -123,7 +123,7 @@
 func (n *Node) refuseHere(ctx context.Context, call toucancall.Call, in *inbound, refusal *Refusal) *reply {
 	file, _ := n.files.ClassFile(call.Service)
 	r := &run{n: n, in: in, call: call, early: refusal}
-	r.atMostOnce = file.Match(in.r.Method, in.r.URL.Path).AtMostOnce
+	r.atMostOnce = atMostOnce(file, call, in.r)
 	return r.steps(ctx)
 }
 
@@ -212,6 +212,9 @@
 		n.log.LogAttrs(ctx, slog.LevelInfo, "request_start", r.identity()...)
 	}
 	out := r.in.outgoing(r.backendFields())
+	if r.once != nil {
+		out.confirm = r.once.Confirm
+	}
 	x, err := n.backends.send(ctx, r.call.Deadline, address, out, forwardInterim(r.in.w))
 	if err != nil {
 		rep := n.classify(ctx, err, r.in.body)
@@ -309,7 +312,7 @@
 
 // identity is what the log lines of one run have in common.
 func (r *run) identity() []slog.Attr {
-	attrs := make([]slog.Attr, 0, 12)
+	attrs := make([]slog.Attr, 0, 13)
 	return append(attrs,
 		slog.String("request_id", r.call.RequestID),
 		slog.String("service", r.call.Service),
@@ -319,5 +322,6 @@
 		slog.String("path", r.in.r.URL.Path),
 		slog.Int("depth", r.call.Depth),
 		slog.String("idempotency_key", r.call.IdempotencyKey),
+		slog.String("caller_key", callerKey(r.call, r.in.r)),
 	)
 }
--- a/toucanonce/home.go
+++ b/toucanonce/home.go
@@ -45,14 +45,22 @@
 	Status  int
 	Header  http.Header
 	Body    []byte
+	Trailer http.Header
 }
 
 func (a Answer) size() int {
 	size := answerOverhead + len(a.Body)
 	if len(a.Header) > 0 {
-		size += headerOverhead
+		size += headerOverhead + fieldBytes(a.Header)
 	}
-	for name, values := range a.Header {
+	if len(a.Trailer) > 0 {
+		size += headerOverhead + fieldBytes(a.Trailer)
+	}
+	return size
+}
+
+func fieldBytes(h http.Header) (size int) {
+	for name, values := range h {
 		size += fieldOverhead + len(name)
 		for _, value := range values {
 			size += len(value)
@@ -164,6 +172,9 @@
 	return keys
 }
 
+// Remembered returns the number of keys that were issued and not yet forgotten.
+func (h *Home) Remembered() int { return int(h.states.size()) }
+
 // Begin decides what to do with a request. After Run the caller must end the
 // run with Finish.
 func (h *Home) Begin(k Key) Decision {
--- a/toucanonce/lease.go
+++ b/toucanonce/lease.go
@@ -71,11 +71,25 @@
 }
 
 // Open starts to use a session. Opened must have been read before the session
-// was asked for.
+// was asked for. Opening the session in use again changes nothing, so attempts
+// may share the result of one OpenSession.
 func (l *Lease) Open(session string, opened Stamp) {
+	if session == l.session {
+		return
+	}
 	*l = Lease{session: session, opened: opened, values: make(map[string]string)}
 }
 
+// Current returns the session in use and the time it was opened with, or "".
+func (l *Lease) Current() (session string, opened Stamp) { return l.session, l.opened }
+
+// Drop stops using a session that the KV no longer knows.
+func (l *Lease) Drop(session string) {
+	if session == l.session {
+		*l = Lease{}
+	}
+}
+
 // Bind returns the session and the value to acquire path with. The issued key
 // must have been received at the given time. A path that was tried under this
 // session keeps its first value, because the KV lets a session rewrite what it
