cmd/toucanhaven: freeze the home of keys in the middle of a call

Two entries send the same 200 orders while their home is stopped with SIGSTOP and continued. The record of the stand-in backend server, the request log and the answers of the callers must agree, and no order may run twice.

--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -67,6 +67,9 @@
 			"awaitcount":   awaitCount,
 			"terminate":    terminate,
 			"exitstatus":   exitStatus,
+			"issuekeys":    issueKeys,
+			"signal":       sendSignal,
+			"agree":        agree,
 		},
 	})
 }
--- a/cmd/toucanstub/caller.go
+++ b/cmd/toucanstub/caller.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	bodyBytes                                     int
 	count, concurrency                            int
 	interval, timeout                             time.Duration
+	keys                                          []string // one for each request; empty without a keys file
 	client                                        *http.Client
 
 	mu    sync.Mutex
@@ -30,7 +32,7 @@
 		method: http.MethodGet, path: "/", count: 1, concurrency: 1, timeout: 10 * time.Second,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}, total: map[string]int{},
 	}
-	nodeFile := ""
+	nodeFile, keysFile := "", ""
 	sub := flaggy.NewSubcommand("caller")
 	sub.Description = "send requests to a node and print their outcomes"
 	sub.String(&nodeFile, "n", "node", "addresses file of the entry")
@@ -39,6 +41,7 @@
 	sub.String(&c.path, "", "path", "path and query")
 	sub.String(&c.tenant, "", "tenant", "tenant of the requests")
 	sub.String(&c.key, "", "key", "idempotency key of the requests")
+	sub.String(&keysFile, "", "keys", "file with one idempotency key a line, one for each request, which gets the id order- and its number")
 	sub.String(&c.requestID, "", "request-id", "request id of the requests")
 	sub.Int(&c.bodyBytes, "", "body-bytes", "size of the request body")
 	sub.Int(&c.count, "", "count", "number of requests")
@@ -50,6 +53,14 @@
 		if err != nil {
 			return fail(err)
 		}
+		if keysFile != "" {
+			text, err := os.ReadFile(keysFile)
+			if err != nil {
+				return fail(err)
+			}
+			c.keys = strings.Fields(string(text))
+			c.count = len(c.keys)
+		}
 		c.sendAll("http://" + addresses.Caller + c.path)
 		fmt.Printf("total answered=%d not_run=%d failed=%d unknown=%d broken=%d\n", c.total["answered"],
 			c.total["not_run"], c.total["failed"], c.total["unknown"], c.total["broken"])
@@ -65,8 +76,8 @@
 	var wait sync.WaitGroup
 	for range c.concurrency {
 		wait.Go(func() {
-			for range work {
-				c.send(url)
+			for i := range work {
+				c.send(url, i)
 				time.Sleep(c.interval)
 			}
 		})
@@ -79,21 +90,25 @@
 }
 
 // send makes one request. An answer that breaks off counts as broken.
-func (c *caller) send(url string) {
+func (c *caller) send(url string, i int) {
+	key, requestID := c.key, c.requestID
+	if len(c.keys) > 0 {
+		key, requestID = c.keys[i], fmt.Sprintf("order-%d", i)
+	}
 	var body io.Reader
 	if c.bodyBytes > 0 {
 		body = strings.NewReader(strings.Repeat("b", c.bodyBytes))
 	}
 	req, err := http.NewRequest(c.method, url, body)
 	if err != nil {
-		c.record("broken", "error=%q", err)
+		c.record(requestID, "broken", "error=%q", err)
 		return
 	}
 	req.GetBody = nil // keeps the client from repeating the request by itself
 	req.Header.Set(toucancall.HeaderService, c.service)
 	req.Header.Set(toucancall.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
 	for field, value := range map[string]string{
-		toucancall.HeaderTenant: c.tenant, toucancall.HeaderIdempotencyKey: c.key, toucancall.HeaderRequestID: c.requestID,
+		toucancall.HeaderTenant: c.tenant, toucancall.HeaderIdempotencyKey: key, toucancall.HeaderRequestID: requestID,
 	} {
 		if value != "" {
 			req.Header.Set(field, value)
@@ -101,23 +116,23 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		c.record("broken", "error=%q", err)
+		c.record(requestID, "broken", "error=%q", err)
 		return
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
-		c.record("broken", "status=%d bytes=%d error=%q", resp.StatusCode, len(answer), err)
+		c.record(requestID, "broken", "status=%d bytes=%d error=%q", resp.StatusCode, len(answer), err)
 		return
 	}
 	line, _, _ := strings.Cut(string(answer), "\n")
-	c.record(resp.Header.Get(toucancall.HeaderOutcome), "status=%d reason=%s bytes=%d answer=%q",
+	c.record(requestID, resp.Header.Get(toucancall.HeaderOutcome), "status=%d reason=%s bytes=%d answer=%q",
 		resp.StatusCode, resp.Header.Get(toucancall.HeaderReason), len(answer), line)
 }
 
-func (c *caller) record(outcome, format string, args ...any) {
+func (c *caller) record(requestID, outcome, format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.total[outcome]++
-	fmt.Printf("outcome=%s "+format+"\n", append([]any{outcome}, args...)...)
+	fmt.Printf("outcome=%s "+format+" request_id=%s\n", append(append([]any{outcome}, args...), requestID)...)
 }
--- /dev/null
+++ b/toucannode/once_kv_test.go
@@ -0,0 +1,65 @@
+package toucannode
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucankv"
+)
+
+// Guards against a short circuit that never closes, that opens because a caller
+// left, or that lets every call through while the KV is down.
+func TestBreaker(t *testing.T) {
+	is := is.New(t)
+	clock := toucanclock.NewManual(time.Unix(1000, 0))
+	c := newClaims(toucankv.NewClient("127.0.0.1:1"), clock, slog.New(slog.DiscardHandler))
+	down := func(context.Context) error { return &toucankv.UnavailableError{Err: errors.New("down")} }
+	left, cancel := context.WithCancel(t.Context())
+	for range 2 * breakerFailures {
+		is.True(c.call(left, func(ctx context.Context) error { cancel(); return down(ctx) }) != nil)
+		left, cancel = context.WithCancel(t.Context())
+	}
+	cancel()
+	is.True(c.available())
+	for range breakerFailures {
+		is.True(c.available())
+		is.True(c.call(t.Context(), down) != errShortCircuit)
+	}
+	is.True(!c.available())
+	is.Equal(c.call(t.Context(), down), errShortCircuit)
+	clock.Advance(breakerPause)
+	is.True(c.available())
+	is.True(c.call(t.Context(), down) != errShortCircuit) // one try
+	is.Equal(c.call(t.Context(), down), errShortCircuit)
+	clock.Advance(breakerPause)
+	refused := &toucankv.ConflictError{}
+	is.Equal(c.call(t.Context(), func(context.Context) error { return refused }), refused) // an answer
+	is.NoErr(c.call(t.Context(), func(context.Context) error { return nil }))
+}
+
+// Guards against reads of the KV for every forged key, and against a seal that
+// was not there yet being missed for long.
+func TestSealCache(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var s sealCache
+	for i := range maxSealReads + 1 {
+		is.Equal(s.mayRead(now), i < maxSealReads)
+	}
+	is.True(s.mayRead(now.Add(time.Second)))
+	s.put("absent", nil, now)
+	s.put("seal", []byte("r"), now)
+	record, ok := s.get("absent", now)
+	is.True(ok && record == nil)
+	_, ok = s.get("absent", now.Add(absentAge))
+	is.True(!ok)
+	record, ok = s.get("seal", now.Add(absentAge))
+	is.True(ok)
+	is.Equal(string(record), "r")
+}
--- a/toucanonce/once_test.go
+++ b/toucanonce/once_test.go
@@ -296,3 +296,25 @@
 	is.True((SessionUse+KeyLife)*4/3 <= SessionTTL)
 	is.Equal(SessionTTL-SessionUse-KeyLife, 20*time.Minute) // doc.go and docs/ONCE.md name it
 }
+
+// Guards against a second value for a path under one session, which the KV would
+// accept, when two attempts share a session or a lost one is dropped.
+func TestLeaseIsShared(t *testing.T) {
+	is := is.New(t)
+	var l Lease
+	l.Open("s1", 1)
+	_, first, ok := l.Bind("claim/a", Key{Service: "ordini", Sequence: 1}, 2)
+	is.True(ok)
+	l.Open("s1", 3) // the result of the same OpenSession, seen by another attempt
+	_, again, _ := l.Bind("claim/a", Key{Service: "ordini", Sequence: 2}, 4)
+	is.Equal(again, first)
+	session, opened := l.Current()
+	is.Equal(session, "s1")
+	is.Equal(opened, Stamp(1))
+	l.Drop("s0")
+	_, _, ok = l.Bind("claim/a", Key{Service: "ordini", Sequence: 2}, 4)
+	is.True(ok) // another session ended
+	l.Drop("s1")
+	_, _, ok = l.Bind("claim/a", Key{Service: "ordini", Sequence: 2}, 4)
+	is.True(!ok)
+}
