toucannode: use issued keys in the test of a leaving node

TestKeysAtALeavingNode used made-up keys, which the former stand-in accepted without a KV. Such a key now needs a claim and is not forwarded without one. The test takes two issued keys instead and makes the same four checks.

--- a/toucannode/stop_test.go
+++ b/toucannode/stop_test.go
@@ -205,12 +205,14 @@
 		}
 		return outcome(resp)
 	}
-	is.Equal(order("ran"), "order 1")
+	keys := f.issue(node, "2")
+	ran, unused := keys[0], keys[1]
+	is.Equal(order(ran), "order 1")
 	node.drain()
 	f.directory.Announce("ordini", node.self(ServerAlive)) // the word has not spread yet
-	is.Equal(order("ran"), "order 1")
-	is.Equal(order("new"), "not_run leaving")
+	is.Equal(order(ran), "order 1")
+	is.Equal(order(unused), "not_run leaving")
 	node.announce("ordini", node.local.address)
-	is.Equal(order("new"), "not_run key_refused")
+	is.Equal(order(unused), "not_run key_refused")
 	is.Equal(len(f.log.lines("request_run")), 1)
 }
