--- a/toucanscenario/scenario_test.go
+++ b/toucanscenario/scenario_test.go
@@ -27,6 +27,16 @@
 	return sc
 }
 
+// onset is a shorter and earlier form of a scenario, in which the first second
+// of the overload counts for a third of the cause.
+func onset(t Topology, name string) Scenario {
+	sc := find(t, name)
+	sc.Name += "-onset"
+	sc.From = 4 * time.Second
+	sc.To, sc.End = sc.From+3*time.Second, sc.From+9*time.Second
+	return sc
+}
+
 // small is the Padana deployment with a third of its slots.
 func small() Topology {
 	t := Padana()
@@ -41,14 +51,19 @@
 // repeatable on its own.
 var runs = sync.OnceValue(func() map[string]Report {
 	var scenarios []Scenario
-	for _, name := range []string{"slow", "demand-2x", "shedding-5x", "flood-least", "flood-tenant"} {
+	for _, name := range []string{
+		"slow", "demand-2x", "demand-5x", "hard-retries", "shedding-5x", "flood-least", "flood-tenant", "cold-half", "absurd-threshold",
+	} {
 		scenarios = append(scenarios, quick(small(), name))
 	}
 	for _, name := range []string{
-		"slow", "demand-2x", "demand-10x", "hard-retries", "flood-least", "flood-tenant", "lying-server", "absurd-threshold",
+		"slow", "demand-2x", "demand-5x", "demand-10x", "hard-retries", "flood-least", "flood-tenant", "lying-server", "absurd-threshold",
 	} {
 		scenarios = append(scenarios, quick(Chain(), name))
 	}
+	for _, name := range []string{"demand-2x", "flood-tenant"} {
+		scenarios = append(scenarios, onset(small(), name), onset(Chain(), name))
+	}
 	reports := make([]Report, len(scenarios))
 	var wg sync.WaitGroup
 	for i, sc := range scenarios {
@@ -96,8 +111,9 @@
 // multiply from hop to hop.
 func TestRecoveryAndAttempts(t *testing.T) {
 	for _, r := range play(
-		quick(small(), "slow"), quick(small(), "shedding-5x"),
-		quick(Chain(), "slow"), quick(Chain(), "demand-10x"), quick(Chain(), "hard-retries"),
+		quick(small(), "slow"), quick(small(), "demand-5x"), quick(small(), "hard-retries"),
+		quick(small(), "shedding-5x"), quick(small(), "cold-half"),
+		quick(Chain(), "slow"), quick(Chain(), "demand-5x"), quick(Chain(), "demand-10x"), quick(Chain(), "hard-retries"),
 		quick(Chain(), "lying-server"),
 	) {
 		t.Run(r.Topology+"/"+r.Scenario, func(t *testing.T) {
@@ -113,10 +129,18 @@
 
 // Guards against urgent requests that are shed while less urgent ones run.
 func TestUrgentRanksKeepTarget(t *testing.T) {
-	for _, r := range play(
+	checkUrgent(t,
 		quick(small(), "demand-2x"), quick(small(), "flood-least"),
-		quick(Chain(), "demand-2x"), quick(Chain(), "flood-least"),
-	) {
+		quick(Chain(), "demand-2x"), quick(Chain(), "flood-least"))
+}
+
+// Guards against urgent requests that are lost in the first second of overload.
+func TestUrgentRanksKeepTargetAtOnset(t *testing.T) {
+	checkUrgent(t, onset(small(), "demand-2x"), onset(Chain(), "demand-2x"))
+}
+
+func checkUrgent(t *testing.T, scenarios ...Scenario) {
+	for _, r := range play(scenarios...) {
 		c := r.Classes[0]
 		t.Run(r.Topology+"/"+r.Scenario, func(t *testing.T) {
 			if got := c.Good / c.Offered; got < wantUrgent*c.Success {
@@ -129,7 +153,17 @@
 // Guards against one tenant that takes the share of the others. Strict order
 // leaves some ranks nothing; those have no fair share to keep.
 func TestOrdinaryTenantsKeepShare(t *testing.T) {
-	for _, r := range play(quick(small(), "flood-tenant"), quick(Chain(), "flood-tenant")) {
+	checkOrdinary(t, quick(small(), "flood-tenant"), quick(Chain(), "flood-tenant"))
+}
+
+// Guards against ordinary tenants that lose their share in the first second of a
+// flood by one tenant.
+func TestOrdinaryTenantsKeepShareAtOnset(t *testing.T) {
+	checkOrdinary(t, onset(small(), "flood-tenant"), onset(Chain(), "flood-tenant"))
+}
+
+func checkOrdinary(t *testing.T, scenarios ...Scenario) {
+	for _, r := range play(scenarios...) {
 		for _, c := range r.Classes {
 			t.Run(r.Topology+"/"+c.Name, func(t *testing.T) {
 				if c.Ordinary >= 0 && c.Ordinary < wantOrdinary {
@@ -143,7 +177,7 @@
 // Guards against a faulty backend server whose threshold shuts off a healthy
 // service at any depth.
 func TestAbsurdThresholdRefusesNothing(t *testing.T) {
-	for _, r := range play(quick(Chain(), "absurd-threshold")) {
+	for _, r := range play(quick(small(), "absurd-threshold"), quick(Chain(), "absurd-threshold")) {
 		if r.Goodput < wantOfPeak*r.Ideal {
 			t.Errorf("%s: goodput %.0f/s of %.0f/s", r.Topology, r.Goodput, r.Ideal)
 		}
