toucanmember: bound the loss of a data centre by the stated 5 s

Cause: the test allowed 6 s, while the design says that a crashed node leaves the choice within 5 s.

--- a/toucanmember/failure_test.go
+++ b/toucanmember/failure_test.go
@@ -213,7 +213,7 @@
 			}
 			slices.Sort(times)
 			t.Logf("members=%d trials=%d p50=%v max=%v", n, trials, times[trials/2].Round(10*time.Millisecond), times[trials-1].Round(10*time.Millisecond))
-			is.True(times[trials-1] <= 6*time.Second)
+			is.True(times[trials-1] <= 5*time.Second)
 		})
 	}
 }
