--- a/toucannode/admission.go
+++ b/toucannode/admission.go
@@ -86,8 +86,10 @@
 		case toucanadmission.Refused:
 			id = e.ID
 		}
-		a.waiting[id] <- effect
-		delete(a.waiting, id)
+		if decided := a.waiting[id]; decided != nil {
+			decided <- effect
+			delete(a.waiting, id)
+		}
 	}
 }
 
