--- a/toucannode/once_test.go
+++ b/toucannode/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -279,11 +280,16 @@
 	is.Equal(f.order(refusing, keys[1], "d"), "unknown not_forwarded")
 	is.Equal(f.order(refusing, "k", "e"), "unknown not_forwarded")
 
-	listener := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		t.Error("an address of a forged key was dialled")
-	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
 	defer listener.Close()
-	forged := strings.Replace(keys[2], home.ID(), listener.Listener.Addr().String(), 1)
+	go func() {
+		if c, err := listener.Accept(); err == nil {
+			t.Error("an address of a forged key was dialled")
+			c.Close()
+		}
+	}()
+	forged := strings.Replace(keys[2], home.ID(), listener.Addr().String(), 1)
 	is.Equal(f.order(entry, forged, "f"), "unknown not_forwarded")
 	is.Equal(f.order(refusing, forged, "f"), "unknown not_forwarded")
 	f.agree(s)
@@ -320,6 +326,44 @@
 	f.agree(servers...)
 }
 
+// Guards against an empty answer to the repeat of a request whose answer was too
+// long to remember, and against two runs of an issued key whose class the entry
+// does not know as at-most-once.
+func TestRepeatOfLongAnswer(t *testing.T) {
+	is := is.New(t)
+	f, _ := withKV(t)
+	entry, runs := f.node("", nil), 0
+	f.node("ordini", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		w.Write(make([]byte, 2*wholeAnswerBytes))
+	}))
+	key := f.issue(entry, "1")[0]
+	send := func() (string, int) {
+		resp, body := f.do(entry, "POST", "/proofs", strings.NewReader("cup"), toucancall.HeaderIdempotencyKey, key)
+		return outcome(resp), len(body)
+	}
+	got, size := send()
+	is.Equal(got, "answered")
+	is.Equal(size, 2*wholeAnswerBytes)
+	got, _ = send()
+	is.Equal(got, "unknown answer_forgotten")
+	is.Equal(runs, 1)
+}
+
+// Guards against an entry that keeps using a session that the KV has ended.
+func TestSessionEnds(t *testing.T) {
+	is := is.New(t)
+	f, kv := withKV(t)
+	entry, s := f.node("", nil), &orders{}
+	f.node("ordini", s)
+	is.Equal(f.order(entry, "k1", "a"), "order of a /orders/7")
+	kv.LapseAll()
+	is.Equal(f.order(entry, "k2", "b"), "unknown not_forwarded")
+	is.Equal(f.order(entry, "k2", "c"), "order of c /orders/7")
+	is.Equal(f.order(entry, "k2", "d"), "order of c /orders/7")
+	f.agree(s)
+}
+
 // Guards against a run whose key expired while it waited for its connection.
 func TestConfirmBeforeFirstByte(t *testing.T) {
 	is := is.New(t)
