cmd/toucanstub: add demo, an overload that embedded nodes survive

The command runs a KV stand-in, six nodes and their backend servers in one process, sends four classes through a surge and a slow deep service, prints one line a second and compares every outcome and the request log with what the backend servers ran. It exits with status 1 if they differ.

--- /dev/null
+++ b/cmd/toucanstub/demo.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// Defaults and bounds of the demo.
+const (
+	defaultDemoSeconds = 30
+	minDemoSeconds     = 4
+	maxDemoSeconds     = 300
+	defaultDemoSurge   = 5
+)
+
+// demoPhase is a part of the demo with its own load and faults.
+type demoPhase struct {
+	name  string
+	share float64 // of the whole time
+	surge bool    // the least urgent class floods
+	slow  bool    // the deep service is slow
+}
+
+var demoPhases = []demoPhase{
+	{name: "before", share: 0.25},
+	{name: "surge", share: 0.25, surge: true},
+	{name: "slow", share: 0.15, surge: true, slow: true},
+	{name: "after", share: 0.35},
+}
+
+// demo is one run of the demonstration.
+type demo struct {
+	seconds int
+	surge   float64 // demand of the least urgent class in capacities of the fleet
+	seed    int
+	out     io.Writer
+}
+
+func demoCommand() command {
+	d := &demo{seconds: defaultDemoSeconds, surge: defaultDemoSurge, seed: 1, out: os.Stdout}
+	sub := flaggy.NewSubcommand("demo")
+	sub.Description = "run nodes and stand-ins in one process through an overload"
+	sub.Int(&d.seconds, "", "seconds", "length of the load in seconds")
+	sub.Float64(&d.surge, "", "surge", "demand of the least urgent class in the surge, as a multiple of the capacity")
+	sub.Int(&d.seed, "", "seed", "seed of the load")
+	return command{sub: sub, run: func() int {
+		if d.seconds < minDemoSeconds || d.seconds > maxDemoSeconds || d.surge < 0 || d.surge > 20 {
+			fmt.Fprintf(os.Stderr, "toucanstub demo: want --seconds from %d to %d and --surge from 0 to 20\n", minDemoSeconds, maxDemoSeconds)
+			return exitUsage
+		}
+		result, err := d.run(context.Background())
+		if err != nil {
+			return fail(err)
+		}
+		if len(result.disagreements) > 0 {
+			return exitError
+		}
+		return exitOK
+	}}
+}
+
+// demoResult is what the demo found out.
+type demoResult struct {
+	requests      int
+	runs          int
+	disagreements []string
+}
+
+// run starts the fleet, sends the load and compares the outcomes with the runs.
+func (d *demo) run(ctx context.Context) (result demoResult, err error) {
+	fleet, err := newDemoFleet()
+	if err != nil {
+		return result, fmt.Errorf("demo: %w", err)
+	}
+	defer fleet.close()
+	if err := fleet.start(ctx); err != nil {
+		return result, fmt.Errorf("demo: %w", err)
+	}
+	load, err := newDemoLoad(fleet, uint64(d.seed))
+	if err != nil {
+		return result, fmt.Errorf("demo: %w", err)
+	}
+	report := &demoReport{out: d.out, load: load}
+	report.intro(d)
+	load.begin(d)
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for second := range d.seconds {
+		phase := d.phaseAt(time.Duration(second) * time.Second)
+		fleet.setSlow(phase.slow)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+		report.second(second, phase.name)
+	}
+	fleet.setSlow(false)
+	load.wait()
+	if err := fleet.stop(); err != nil {
+		fmt.Fprintln(d.out, "a node did not stop whole:", err)
+	}
+	result = compareWithRuns(load.requests(), fleet)
+	report.summary(d, result)
+	return result, nil
+}
+
+// phaseAt returns the phase at a time since the begin of the load. Phases begin
+// on whole seconds.
+func (d *demo) phaseAt(at time.Duration) demoPhase {
+	for i, phase := range demoPhases {
+		if begin, end := d.bounds(i); at >= begin && at < end {
+			return phase
+		}
+	}
+	return demoPhases[len(demoPhases)-1]
+}
+
+// bounds returns when a phase begins and ends.
+func (d *demo) bounds(i int) (begin, end time.Duration) {
+	sum := 0.0
+	for _, p := range demoPhases[:i] {
+		sum += p.share
+	}
+	whole := func(share float64) time.Duration { return time.Duration(share*float64(d.seconds)+0.5) * time.Second }
+	return whole(sum), whole(sum + demoPhases[i].share)
+}
--- /dev/null
+++ b/cmd/toucanstub/demo_fleet.go
@@ -0,0 +1,389 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclass"
+	"toucanhaven/toucankvtest"
+	"toucanhaven/toucannode"
+	"toucanhaven/toucansettings"
+)
+
+const (
+	demoNodes      = 2 // of each service
+	demoDeepSlots  = 4 // of a backend server of the deep service
+	demoFrontSlots = 24
+	demoDeepTime   = 25 * time.Millisecond // service time of the deep service
+	demoFrontTime  = 5 * time.Millisecond  // own service time of the others
+	demoSlowFactor = 2.5
+	// demoCapacity is how many requests a second the deep service can run. Every
+	// request reaches it once.
+	demoCapacity = float64(demoNodes*demoDeepSlots) * float64(time.Second) / float64(demoDeepTime)
+
+	demoStopTimeout = 10 * time.Second
+	demoReadyWait   = 15 * time.Second
+)
+
+// demoClassFiles are the class files by service. The order of the classes by
+// urgency is place_order, check_availability, order_status, browse.
+var demoClassFiles = map[string]string{
+	"vetrina": `service = "vetrina"
+[[class]]
+name = "check_availability"
+method = "GET"
+path = "/availability"
+latency = "400ms"
+success = 0.999
+[[class]]
+name = "browse"
+method = "GET"
+path = "/catalogue"
+latency = "1s"
+success = 0.9
+`,
+	"ordini": `service = "ordini"
+[[class]]
+name = "place_order"
+method = "POST"
+path = "/orders"
+latency = "500ms"
+success = 0.9999
+at_most_once = true
+[[class]]
+name = "order_status"
+method = "GET"
+path = "/status"
+latency = "800ms"
+success = 0.99
+`,
+	"magazzino": `service = "magazzino"
+[[class]]
+name = "read_stock"
+method = "GET"
+path = "/stock"
+latency = "200ms"
+success = 0.999
+`,
+}
+
+// demoServices are the services in the order in which they start.
+var demoServices = []string{"magazzino", "vetrina", "ordini"}
+
+const demoDeepService = "magazzino"
+
+// runKey names the runs of one request at one service.
+type runKey struct{ requestID, service string }
+
+// runLog collects what the nodes log about runs. It is the writer of their
+// loggers, which pass one line at a time.
+type runLog struct {
+	mu   sync.Mutex
+	runs map[runKey]map[toucancall.Outcome]int
+}
+
+func newRunLog() *runLog { return &runLog{runs: map[runKey]map[toucancall.Outcome]int{}} }
+
+// Write takes one log line.
+func (l *runLog) Write(line []byte) (int, error) {
+	if !bytes.Contains(line, []byte(" event=request_run ")) {
+		return len(line), nil
+	}
+	fields := map[string]string{}
+	for _, word := range strings.Fields(string(line)) {
+		if key, value, ok := strings.Cut(word, "="); ok {
+			fields[key] = value
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := runKey{fields["request_id"], fields["service"]}
+	if l.runs[key] == nil {
+		l.runs[key] = map[toucancall.Outcome]int{}
+	}
+	l.runs[key][toucancall.Outcome(fields["outcome"])]++
+	return len(line), nil
+}
+
+// demoFleet is the KV stand-in and the nodes with their backend servers.
+type demoFleet struct {
+	kv       *http.Server
+	log      *runLog
+	nodes    []*toucannode.Node
+	services []string // of the node with the same index
+	servers  []*http.Server
+	client   *http.Client
+	slow     atomic.Bool
+
+	mu      sync.Mutex
+	ran     map[runKey]int // runs that began
+	stopped bool
+}
+
+// newDemoFleet makes the KV stand-in and the nodes.
+func newDemoFleet() (f *demoFleet, err error) {
+	f = &demoFleet{
+		log: newRunLog(), ran: map[runKey]int{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+	defer func() {
+		if err != nil {
+			f.close()
+		}
+	}()
+	kvAddress, kv, err := serveLoopback(&toucankvtest.Server{})
+	if err != nil {
+		return f, err
+	}
+	f.kv = kv
+	for _, service := range demoServices {
+		for range demoNodes {
+			if err := f.addNode(service, kvAddress); err != nil {
+				return f, err
+			}
+		}
+	}
+	return f, nil
+}
+
+// serveLoopback serves on a free port of the loopback interface.
+func serveLoopback(h http.Handler) (netip.AddrPort, *http.Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, nil, err
+	}
+	server := &http.Server{Handler: h}
+	go server.Serve(l)
+	return l.Addr().(*net.TCPAddr).AddrPort(), server, nil
+}
+
+func (f *demoFleet) addNode(service string, kvAddress netip.AddrPort) error {
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	n, err := toucannode.New(toucannode.Options{
+		Settings: toucansettings.Settings{
+			CallerAddress: free, PeerAddress: free, ControlAddress: free, AdminAddress: free,
+			DataCentre: "mi-1", Region: "lombardia", KVAddress: kvAddress,
+			Limits: toucansettings.DefaultLimits, StopTimeout: demoStopTimeout,
+		},
+		Logger: toucannode.NewLogger(f.log, slog.LevelInfo),
+	})
+	if err != nil {
+		return err
+	}
+	n.Start()
+	f.nodes, f.services = append(f.nodes, n), append(f.services, service)
+	return nil
+}
+
+// start announces the backend servers, applies the class files and waits until
+// every class is answered.
+func (f *demoFleet) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoReadyWait)
+	defer cancel()
+	for i, n := range f.nodes {
+		server := newDemoServer(f, f.services[i], n.Addresses().Caller)
+		address, listening, err := serveLoopback(server)
+		if err != nil {
+			return err
+		}
+		f.servers = append(f.servers, listening)
+		if err := announce(n.Addresses().Admin, f.services[i], address.String()); err != nil {
+			return err
+		}
+	}
+	for _, service := range demoServices {
+		if err := f.apply(ctx, service); err != nil {
+			return err
+		}
+	}
+	for _, c := range demoClasses {
+		for _, entry := range f.entries() {
+			if err := f.awaitAnswer(ctx, entry, c); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// apply applies the class file of a service at the first node.
+func (f *demoFleet) apply(ctx context.Context, service string) error {
+	body, err := json.Marshal(map[string]any{
+		"replaces": 0, "author": "demo", "nonce": "demo-" + service, "class_file": demoClassFiles[service],
+	})
+	if err != nil {
+		return err
+	}
+	for {
+		resp, err := f.client.Post("http://"+f.nodes[0].Addresses().Admin+"/config/"+service, "application/json", bytes.NewReader(body))
+		if err != nil {
+			return fmt.Errorf("apply the class file of %s: %w", service, err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+		if !sleep(ctx, 100*time.Millisecond) {
+			return fmt.Errorf("apply the class file of %s: %s: %s", service, resp.Status, text)
+		}
+	}
+}
+
+// awaitAnswer sends requests of a class until the entry answers one with the
+// class file in force.
+func (f *demoFleet) awaitAnswer(ctx context.Context, entry string, c demoClass) error {
+	for attempt := 0; ; attempt++ {
+		req, err := http.NewRequestWithContext(ctx, c.method, "http://"+entry+c.path, nil)
+		if err != nil {
+			return err
+		}
+		req.Header.Set(toucancall.HeaderService, c.service)
+		req.Header.Set(toucancall.HeaderRequestID, fmt.Sprintf("ready-%s-%s-%d", entry, c.name, attempt))
+		resp, err := f.client.Do(req)
+		if err != nil {
+			return fmt.Errorf("class %s does not get ready: %w", c.name, err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.Header.Get(toucancall.HeaderOutcome) == string(toucancall.Answered) && resp.StatusCode == http.StatusOK {
+			return nil
+		}
+		if !sleep(ctx, 50*time.Millisecond) {
+			return fmt.Errorf("class %s does not get ready: %s: %s", c.name, resp.Status, text)
+		}
+	}
+}
+
+// entries returns the caller addresses of the nodes that callers use.
+func (f *demoFleet) entries() (addresses []string) {
+	for i, n := range f.nodes {
+		if f.services[i] != demoDeepService {
+			addresses = append(addresses, n.Addresses().Caller)
+		}
+	}
+	return addresses
+}
+
+func (f *demoFleet) setSlow(slow bool) { f.slow.Store(slow) }
+
+// stop ends the nodes with planned stops.
+func (f *demoFleet) stop() error {
+	if f.stopped {
+		return nil
+	}
+	f.stopped = true
+	errs := make([]error, len(f.nodes))
+	var wait sync.WaitGroup
+	for i, n := range f.nodes {
+		wait.Go(func() { errs[i] = n.Stop(context.Background()) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+func (f *demoFleet) close() {
+	f.client.CloseIdleConnections()
+	_ = f.stop() // reported where it matters
+	for _, s := range f.servers {
+		s.Close()
+	}
+	if f.kv != nil {
+		f.kv.Close()
+	}
+}
+
+// demoServer is a backend server that records what it runs.
+type demoServer struct {
+	fleet   *demoFleet
+	service string
+	node    string // caller address of its node
+	slots   chan struct{}
+}
+
+func newDemoServer(f *demoFleet, service, node string) *demoServer {
+	slots := demoFrontSlots
+	if service == demoDeepService {
+		slots = demoDeepSlots
+	}
+	return &demoServer{fleet: f, service: service, node: node, slots: make(chan struct{}, slots)}
+}
+
+// ServeHTTP runs one request once a slot is free.
+func (s *demoServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { <-s.slots }()
+	id := r.Header.Get(toucancall.HeaderRequestID)
+	s.fleet.mu.Lock()
+	s.fleet.ran[runKey{id, s.service}]++
+	s.fleet.mu.Unlock()
+	if s.service == demoDeepService {
+		duration := demoDeepTime
+		if s.fleet.slow.Load() {
+			duration = time.Duration(float64(duration) * demoSlowFactor)
+		}
+		if !sleep(r.Context(), duration) {
+			panic(http.ErrAbortHandler)
+		}
+	} else {
+		if !sleep(r.Context(), demoFrontTime) {
+			panic(http.ErrAbortHandler)
+		}
+		if err := s.callDeep(r); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+	}
+	io.WriteString(w, demoAnswer(id))
+}
+
+// demoAnswer is the answer to the request with an id.
+func demoAnswer(requestID string) string { return "request_id=" + requestID + " end\n" }
+
+// callDeep calls the deep service through the node beside the server.
+func (s *demoServer) callDeep(r *http.Request) error {
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+s.node+"/stock", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(toucancall.HeaderService, demoDeepService)
+	req.Header.Set(toucancall.HeaderParent, r.Header.Get(toucancall.HeaderParent))
+	resp, err := s.fleet.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.Header.Get(toucancall.HeaderOutcome) != string(toucancall.Answered) {
+		return fmt.Errorf("child call: %s: %s: %v", resp.Status, text, err)
+	}
+	return nil
+}
+
+// classTarget returns the latency target of a class.
+func classTarget(service, name string) time.Duration {
+	file, _ := toucanclass.ParseFile(service, []byte(demoClassFiles[service]))
+	for _, c := range file.Classes {
+		if c.Name == name {
+			return c.Latency
+		}
+	}
+	return 0
+}
--- a/cmd/toucanstub/main.go
+++ b/cmd/toucanstub/main.go
@@ -1,5 +1,5 @@
 // Command toucanstub runs stand-ins for tests: the key-value service, a backend
-// server and a caller.
+// server and a caller, and a demo of nodes that survive an overload.
 package main
 
 import (
@@ -32,7 +32,7 @@
 	parser := flaggy.NewParser("toucanstub")
 	parser.Description = "stand-ins for tests of toucanhaven"
 	parser.ShowCompletion = false
-	commands := []command{kvCommand(), backendCommand(), callerCommand()}
+	commands := []command{kvCommand(), backendCommand(), callerCommand(), demoCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
