toucannode: report unknown when a refused retry follows a run that may have begun

An entry that retried a safe request after an attempt with outcome unknown or failed passed the refusal of the last attempt on as not_run, although the first attempt may have run. The caller now gets unknown with the reason of the last attempt. The answer of the home of a key covers earlier attempts and stays as it is. Before the change, TestRefusedRetryAfterALostRunIsUnknown got "not_run backend_refused".

--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -205,6 +205,7 @@
 	n := e.n
 	var tried []string
 	var last *reply
+	mayHaveRun := false // in an earlier attempt
 	for {
 		server, ok := e.choose(ctx, home, tried)
 		if !ok {
@@ -215,6 +216,11 @@
 			return e.last(last, toucancall.ReasonDeadline, "")
 		}
 		last = e.attempt(ctx, server, now)
+		if mayHaveRun && home == "" && last.refusal != nil && last.refusal.Outcome == toucancall.NotRun {
+			// Only a home knows that the earlier attempt did not run either.
+			last.refusal = &Refusal{Outcome: toucancall.Unknown, Reason: last.refusal.Reason, Detail: last.refusal.Detail}
+		}
+		mayHaveRun = mayHaveRun || last.refusal != nil && last.refusal.Outcome != toucancall.NotRun
 		if last.refusal == nil || !e.mayRetry(last, home) {
 			return last
 		}
--- /dev/null
+++ b/toucannode/retry_outcome_test.go
@@ -0,0 +1,33 @@
+package toucannode
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucancall"
+)
+
+// Guards against "not run" for a request whose first attempt may have run and
+// whose retry was refused.
+func TestRefusedRetryAfterALostRunIsUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	entry := f.node("", nil)
+	var calls atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			panic(http.ErrAbortHandler) // it ran, and its answer is lost
+		}
+		w.Header().Set(toucancall.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f.node("ordini", handler)
+	f.node("ordini", handler)
+	resp, _ := f.do(entry, "GET", "/orders", nil)
+	is.True(calls.Load() >= 2)
+	is.Equal(outcome(resp), "unknown backend_refused")
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+}
