toucannode: add the metrics that operators need

The metrics page now has the concurrency limit, running and queued calls, load, members by state, class-file revisions, refusals by class and reason, wasted run time by class, retries, and calls and failures of the key-value service. Every family is bounded; classes beyond the bound share the series "other".

--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -47,7 +47,7 @@
 	outcome, known := toucancall.Answered, e.call.Service != ""
 	if r := rep.refusal; r != nil {
 		outcome, known = r.Outcome, known && r.Reason != toucancall.ReasonNoBackend
-		n.metrics.refused(r)
+		n.metrics.refused(e.call, r, known)
 	}
 	defer func() { n.metrics.request(e.call, outcome, known, n.clock.Now().Sub(start)) }()
 	n.deliver(w, rep, e.in, false)
@@ -228,6 +228,7 @@
 		if !ok || !retryDelay(ctx, delay, e.call.Deadline) {
 			return last
 		}
+		n.metrics.count("toucan_retries_total", "reason", string(last.refusal.Reason))
 		tried = append(tried, server.NodeID)
 	}
 }
--- a/toucannode/limits_test.go
+++ b/toucannode/limits_test.go
@@ -142,7 +142,7 @@
 	for i := range 2 * maxClassSeries {
 		name := fmt.Sprint(i)
 		n.metrics.request(toucancall.Call{Service: name, Class: name, Tenant: name}, toucancall.Answered, true, time.Second)
-		n.metrics.run(toucancall.Call{Service: name, Class: name}, toucancall.Answered, time.Second)
+		n.metrics.run(toucancall.Call{Service: name, Class: name}, toucancall.Answered, 200, time.Second)
 	}
 	f.do(n, "GET", "/made/up", nil, toucancall.HeaderService, "made-up-service")
 	resp, err := http.Get("http://" + n.Addresses().Admin + "/metrics")
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -126,6 +126,7 @@
 	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
 	n.clients = &controlClients{clock: n.clock}
 	n.metrics = newNodeMetrics(n)
+	n.kv = countedStore{n.kv, n.metrics}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -181,11 +182,18 @@
 			ID: n.id, Incarnation: n.incarnation, PeerAddress: n.addresses.Peer,
 			DataCentre: n.settings.DataCentre, State: toucanbalance.Alive,
 		},
-		membersOf: config.follow, revisionOf: config.Observe, forget: config.forget,
+		membersOf: config.follow, revisionOf: config.Observe,
 		background: &n.background, ctx: n.ctx,
 		views: map[string]*serviceView{}, answers: map[uint64]chan toucanmember.Message{},
 	}
-	config.installed = members.setRevision
+	config.installed = func(service string, revision uint64) {
+		members.setRevision(service, revision)
+		n.metrics.installed(service, revision)
+	}
+	members.forget = func(service string) {
+		config.forget(service)
+		n.metrics.forgotten(service)
+	}
 	n.directory, n.files = members, config
 	n.loops = append(n.loops,
 		func() { every(n.ctx, toucanmember.TickPeriod, members.tick) },
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -322,7 +322,7 @@
 			r.once.Finish(o, reason, r.stored)
 		}
 	}
-	n.metrics.run(r.call, o, latency)
+	n.metrics.run(r.call, o, r.status, latency)
 	r.log(o, reason, latency)
 }
 
