toucanconfig: log a configuration change with one event key

The log line of an apply had the key "event" twice, with the message and with config_apply, because the daemon's logger names the message "event". The event is config_apply now, with accepted=true or false.

--- a/toucanconfig/admin.go
+++ b/toucanconfig/admin.go
@@ -146,12 +146,12 @@
 	if a.Log == nil {
 		return
 	}
-	attributes := []any{"event", "config_apply", "service", r.Service, "replaces", r.Replaces, "author", r.Author, "nonce", r.Nonce}
+	attributes := []any{"service", r.Service, "replaces", r.Replaces, "author", r.Author, "nonce", r.Nonce}
 	if err != nil {
-		a.Log.Warn("configuration change not accepted", append(attributes, "error", err)...)
+		a.Log.Warn("config_apply", append(attributes, "accepted", false, "error", err)...)
 		return
 	}
-	a.Log.Info("configuration change accepted", attributes...)
+	a.Log.Info("config_apply", append(attributes, "accepted", true)...)
 }
 
 func writeError(w http.ResponseWriter, err error) {
