cmd/toucanstub: size the demo as the design does and show limits and reasons

The deep service has 30 slots for each backend server, the least of the design's sizes, instead of 4: with 4 the learned limit starts five times too high and urgent calls wait in the backend server's own queue. Each line shows the learned limits of the deep service; the summary lists the reasons of requests that were not answered, with those of refused child calls.

--- a/cmd/toucanstub/demo_fleet.go
+++ b/cmd/toucanstub/demo_fleet.go
@@ -24,12 +24,12 @@
 )
 
 const (
-	demoNodes      = 2 // of each service
-	demoDeepSlots  = 4 // of a backend server of the deep service
-	demoFrontSlots = 24
-	demoDeepTime   = 25 * time.Millisecond // service time of the deep service
-	demoFrontTime  = 5 * time.Millisecond  // own service time of the others
-	demoSlowFactor = 2.5
+	demoNodes      = 2  // of each service
+	demoDeepSlots  = 30 // of a backend server of the deep service
+	demoFrontSlots = 100
+	demoDeepTime   = 150 * time.Millisecond // service time of the deep service
+	demoFrontTime  = 5 * time.Millisecond   // own service time of the others
+	demoSlowFactor = 2
 	// demoCapacity is how many requests a second the deep service can run. Every
 	// request reaches it once.
 	demoCapacity = float64(demoNodes*demoDeepSlots) * float64(time.Second) / float64(demoDeepTime)
@@ -46,13 +46,13 @@
 name = "check_availability"
 method = "GET"
 path = "/availability"
-latency = "400ms"
+latency = "500ms"
 success = 0.999
 [[class]]
 name = "browse"
 method = "GET"
 path = "/catalogue"
-latency = "1s"
+latency = "2s"
 success = 0.9
 `,
 	"ordini": `service = "ordini"
@@ -60,14 +60,14 @@
 name = "place_order"
 method = "POST"
 path = "/orders"
-latency = "500ms"
+latency = "800ms"
 success = 0.9999
 at_most_once = true
 [[class]]
 name = "order_status"
 method = "GET"
 path = "/status"
-latency = "800ms"
+latency = "1s"
 success = 0.99
 `,
 	"magazzino": `service = "magazzino"
@@ -75,7 +75,7 @@
 name = "read_stock"
 method = "GET"
 path = "/stock"
-latency = "200ms"
+latency = "400ms"
 success = 0.999
 `,
 }
@@ -278,6 +278,25 @@
 	return addresses
 }
 
+// deepLimits returns the learned concurrency limits of the deep service.
+func (f *demoFleet) deepLimits() (limits []string) {
+	for i, n := range f.nodes {
+		if f.services[i] != demoDeepService {
+			continue
+		}
+		status := struct {
+			Limit int `json:"concurrency_limit"`
+		}{}
+		resp, err := f.client.Get("http://" + n.Addresses().Admin + "/status")
+		if err == nil {
+			_ = json.NewDecoder(resp.Body).Decode(&status) // shown as 0
+			resp.Body.Close()
+		}
+		limits = append(limits, fmt.Sprint(status.Limit))
+	}
+	return limits
+}
+
 func (f *demoFleet) setSlow(slow bool) { f.slow.Store(slow) }
 
 // stop ends the nodes with planned stops.
@@ -337,7 +356,7 @@
 	if s.service == demoDeepService {
 		duration := demoDeepTime
 		if s.fleet.slow.Load() {
-			duration = time.Duration(float64(duration) * demoSlowFactor)
+			duration *= demoSlowFactor
 		}
 		if !sleep(r.Context(), duration) {
 			panic(http.ErrAbortHandler)
@@ -346,7 +365,8 @@
 		if !sleep(r.Context(), demoFrontTime) {
 			panic(http.ErrAbortHandler)
 		}
-		if err := s.callDeep(r); err != nil {
+		if reason, err := s.callDeep(r); err != nil {
+			w.Header().Set(demoChildReason, reason)
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
 		}
@@ -357,24 +377,29 @@
 // demoAnswer is the answer to the request with an id.
 func demoAnswer(requestID string) string { return "request_id=" + requestID + " end\n" }
 
+// demoChildReason is the answer header in which a demoServer says what became of
+// its child call.
+const demoChildReason = "Demo-Child-Reason"
+
 // callDeep calls the deep service through the node beside the server.
-func (s *demoServer) callDeep(r *http.Request) error {
+func (s *demoServer) callDeep(r *http.Request) (reason string, err error) {
 	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+s.node+"/stock", nil)
 	if err != nil {
-		return err
+		return "no_answer", err
 	}
 	req.Header.Set(toucancall.HeaderService, demoDeepService)
 	req.Header.Set(toucancall.HeaderParent, r.Header.Get(toucancall.HeaderParent))
 	resp, err := s.fleet.client.Do(req)
 	if err != nil {
-		return err
+		return "no_answer", err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil || resp.Header.Get(toucancall.HeaderOutcome) != string(toucancall.Answered) {
-		return fmt.Errorf("child call: %s: %s: %v", resp.Status, text, err)
+		reason := resp.Header.Get(toucancall.HeaderOutcome) + "_" + resp.Header.Get(toucancall.HeaderReason)
+		return reason, fmt.Errorf("child call: %s: %s: %v", resp.Status, text, err)
 	}
-	return nil
+	return "", nil
 }
 
 // classTarget returns the latency target of a class.
--- a/cmd/toucanstub/demo_load.go
+++ b/cmd/toucanstub/demo_load.go
@@ -57,7 +57,7 @@
 	class   int // index in demoClasses
 	id      string
 	outcome demoOutcome
-	reason  toucancall.Reason // empty for an answer
+	reason  toucancall.Reason // of a child call for an error status
 	ended   time.Duration     // since the begin of the load
 	latency time.Duration
 }
@@ -154,7 +154,7 @@
 	outcome, reason := demoWrong, toucancall.Reason("")
 	switch a := a.(type) {
 	case toucancaller.Answered:
-		outcome = answeredOutcome(a.Status, string(a.Body), id)
+		outcome, reason = answeredOutcome(a.Status, string(a.Body), id), toucancall.Reason(a.Header.Get(demoChildReason))
 	case toucancaller.Refused:
 		outcome, reason = demoRefused, a.Reason
 	case toucancaller.Failed:
@@ -224,7 +224,7 @@
 	reason := toucancall.Reason(resp.Header.Get(toucancall.HeaderReason))
 	switch outcome := toucancall.Outcome(resp.Header.Get(toucancall.HeaderOutcome)); {
 	case outcome == toucancall.Answered && err == nil:
-		return answeredOutcome(resp.StatusCode, string(body), id), ""
+		return answeredOutcome(resp.StatusCode, string(body), id), toucancall.Reason(resp.Header.Get(demoChildReason))
 	case outcome == toucancall.Answered, outcome == toucancall.Failed:
 		return demoFailed, reason
 	case outcome == toucancall.NotRun:
--- a/cmd/toucanstub/demo_report.go
+++ b/cmd/toucanstub/demo_report.go
@@ -23,14 +23,15 @@
 		len(r.load.fleet.nodes), demoCapacity)
 	fmt.Fprintf(r.out, "Load: %d s, seed %d. Surge: browse at %g times that capacity, with callers that retry.\n\n", d.seconds, d.seed, d.surge)
 	fmt.Fprintln(r.out, "For each class: ok (answered whole with status 200), ref (refused as not run), bad (error")
-	fmt.Fprintln(r.out, "status, failed or unknown), p99 of ok in ms against the latency target. Most urgent class first.")
+	fmt.Fprintln(r.out, "status, failed or unknown), p99 of ok in ms against the latency target. Most urgent class first;")
+	fmt.Fprintf(r.out, "last the learned concurrency limits beside magazzino, whose backend servers have %d slots each.\n", demoDeepSlots)
 	fmt.Fprintln(r.out)
 	line := fmt.Sprintf("%3s %-7s", "s", "phase")
 	for i, c := range demoClasses {
 		line += fmt.Sprintf(" | %-25s", fmt.Sprintf("%s %d", c.name, r.load.targets[i].Milliseconds()))
 	}
-	fmt.Fprintln(r.out, line)
-	fmt.Fprintln(r.out, fmt.Sprintf("%11s", "")+strings.Repeat(fmt.Sprintf(" | %5s %6s %5s %6s", "ok", "ref", "bad", "p99"), len(demoClasses)))
+	fmt.Fprintln(r.out, line+" | magazzino")
+	fmt.Fprintln(r.out, fmt.Sprintf("%11s", "")+strings.Repeat(fmt.Sprintf(" | %5s %6s %5s %6s", "ok", "ref", "bad", "p99"), len(demoClasses))+" | limits")
 }
 
 // second prints one line for the requests that ended since the line before.
@@ -42,7 +43,7 @@
 		line += fmt.Sprintf(" | %5d %6d %5d %6s", c.ok, c.refused, c.bad, p99Text(c.latencies))
 	}
 	r.read = len(all)
-	fmt.Fprintln(r.out, line)
+	fmt.Fprintln(r.out, line+" | "+strings.Join(r.load.fleet.deepLimits(), " "))
 }
 
 // demoCounts sums up requests of one class.
