--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -49,7 +49,7 @@
 	outcome, known := toucancall.Answered, e.call.Service != ""
 	if r := rep.refusal; r != nil {
 		outcome, known = r.Outcome, known && r.Reason != toucancall.ReasonNoBackend
-		n.metrics.refused(r)
+		n.metrics.refused(e.call, r, known)
 	}
 	if e.keyed() {
 		n.metrics.count("toucan_keyed_requests_total", "outcome", string(outcome))
@@ -203,6 +203,7 @@
 	n := e.n
 	var tried []string
 	var last *reply
+	mayHaveRun := false // in an earlier attempt
 	for {
 		server, ok := e.choose(ctx, home, tried)
 		if !ok {
@@ -214,6 +215,11 @@
 		}
 		last = e.attempt(ctx, server, now)
 		e.lost = e.lost || last.own && last.refusal.Outcome != toucancall.NotRun
+		if mayHaveRun && home == "" && last.refusal != nil && last.refusal.Outcome == toucancall.NotRun {
+			// Only a home knows that the earlier attempt did not run either.
+			last.refusal = &Refusal{Outcome: toucancall.Unknown, Reason: last.refusal.Reason, Detail: last.refusal.Detail}
+		}
+		mayHaveRun = mayHaveRun || last.refusal != nil && last.refusal.Outcome != toucancall.NotRun
 		if last.refusal == nil || !e.mayRetry(last, home) {
 			return last
 		}
@@ -221,6 +227,7 @@
 		if !ok || !retryDelay(ctx, delay, e.call.Deadline) {
 			return last
 		}
+		n.metrics.count("toucan_retries_total", "reason", string(last.refusal.Reason))
 		tried = append(tried, server.NodeID)
 	}
 }
