cmd/toucanhaven: run the scripts on the real control plane

The scripts found servers through files that the test binary read, so discovery, class files and the KV were not part of any run with separate processes.

GET /status now lists the members of the local service, and for each followed service the revision of the class file, whether it is known, and the servers calls are spread over. Scripts poll that. The file directory and the test-only Options of the command are gone. toucanstub kv writes its address to a file; callers give each request an id that its body and its answer must carry; backend servers check the answers of child calls in the same way.

Scripts: chain (answers out of order), kill, crash, stop, freeze, config, outage. checkruns compares callers' outcomes with the servers' records and request logs.

--- a/cmd/toucanhaven/main.go
+++ b/cmd/toucanhaven/main.go
@@ -6,8 +6,6 @@
 	"os"
 
 	"github.com/integrii/flaggy"
-
-	"toucanhaven/toucannode"
 )
 
 // Exit statuses of all subcommands.
@@ -27,12 +25,12 @@
 	run   func() int
 }
 
-func main() { os.Exit(run(os.Args[1:], toucannode.Options{})) }
+func main() { os.Exit(run(os.Args[1:])) }
 
-// run carries out one command line. Tests pass parts for the node.
-func run(args []string, parts toucannode.Options) int {
+// run carries out one command line.
+func run(args []string) int {
 	commands := []command{
-		nodeCommand(parts),
+		nodeCommand(),
 		checkCommand(), applyCommand(), showCommand(), historyCommand(), statusCommand(), drainCommand(),
 	}
 	parser := flaggy.NewParser("toucanhaven")
--- a/cmd/toucanhaven/node.go
+++ b/cmd/toucanhaven/node.go
@@ -13,7 +13,7 @@
 )
 
 // nodeCommand runs the daemon until a signal stops it.
-func nodeCommand(parts toucannode.Options) command {
+func nodeCommand() command {
 	var settingsFile, addressesFile string
 	flags := newCommand("node", "run the node beside a backend server", "node --settings node.toml")
 	flags.String(&settingsFile, "s", "settings", "file with the settings of the node (TOML)")
@@ -28,9 +28,8 @@
 			fmt.Fprintln(os.Stderr, err)
 			return exitUsage
 		}
-		parts.Settings = settings
-		parts.Logger = toucannode.NewLogger(os.Stderr, settings.LogLevel)
-		if err := runNode(parts, addressesFile); err != nil {
+		options := toucannode.Options{Settings: settings, Logger: toucannode.NewLogger(os.Stderr, settings.LogLevel)}
+		if err := runNode(options, addressesFile); err != nil {
 			fmt.Fprintln(os.Stderr, "toucanhaven node:", err)
 			return exitFailure
 		}
@@ -38,10 +37,10 @@
 	}}
 }
 
-func runNode(parts toucannode.Options, addressesFile string) error {
+func runNode(options toucannode.Options, addressesFile string) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	n, err := toucannode.New(parts)
+	n, err := toucannode.New(options)
 	if err != nil {
 		return err
 	}
--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,11 +28,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(withStub{m}, map[string]func(){
 		"toucanhaven": func() {
-			parts := toucannode.Options{}
-			if dir := os.Getenv("TOUCAN_TEST_DIRECTORY"); dir != "" {
-				parts.Directory = &fileDirectory{dir: dir}
-			}
-			os.Exit(run(os.Args[1:], parts))
+			os.Exit(run(os.Args[1:]))
 		},
 	})
 }
@@ -59,15 +56,35 @@
 		Dir: "testdata/script",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", stubDir+string(os.PathListSeparator)+env.Getenv("PATH"))
-			env.Setenv("TOUCAN_TEST_DIRECTORY", filepath.Join(env.WorkDir, "directory"))
-			return os.WriteFile(filepath.Join(env.WorkDir, "node.toml"), []byte(testSettings), 0o644)
+			for _, dir := range filepath.SplitList(env.Getenv("PATH")) {
+				if file := filepath.Join(dir, "toucanhaven"); env.Getenv("TOUCANHAVEN") == "" {
+					if _, err := os.Stat(file); err == nil {
+						env.Setenv("TOUCANHAVEN", file)
+					}
+				}
+			}
+			env.Values["shown"] = map[string]uint64{}
+			var errs []error
+			for _, service := range []string{"ordini", "assistenza", "magazzino"} {
+				text := fmt.Sprintf(testClassFile, service)
+				errs = append(errs, os.WriteFile(filepath.Join(env.WorkDir, service+".toml"), []byte(text), 0o644))
+			}
+			return errors.Join(errs...)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"awaitmembers": awaitMembers,
-			"awaitline":    awaitLine,
-			"awaitcount":   awaitCount,
-			"terminate":    terminate,
-			"exitstatus":   exitStatus,
+			"awaitkv":       awaitKV,
+			"awaitnodes":    awaitNodes,
+			"awaitmembers":  awaitMembers,
+			"awaitrevision": awaitRevision,
+			"awaitline":     awaitLine,
+			"awaitcount":    awaitCount,
+			"fault":         setFault,
+			"settings":      settings,
+			"signal":        signalProcess,
+			"race":          race,
+			"checkorder":    checkOrder,
+			"checkruns":     checkRuns,
+			"exitstatus":    exitStatus,
 		},
 	})
 }
@@ -75,40 +92,152 @@
 const testSettings = `
 caller_address = "127.0.0.1:0"
 peer_address = "127.0.0.1:0"
-control_address = "127.0.0.1:0"
+control_address = "%s"
 admin_address = "127.0.0.1:0"
 data_centre = "dc1"
 region = "r1"
-kv_address = "127.0.0.1:1"
+kv_address = "%s"
 stop_timeout = "20s"
 `
 
-const awaitTimeout = 15 * time.Second
+const testClassFile = `service = "%s"
+[[class]]
+name = "place"
+method = "POST"
+latency = "800ms"
+success = 0.9999
+`
+
+// awaitTimeout bounds waits for conditions without a bound of their own.
+const awaitTimeout = 20 * time.Second
 
 // await polls until ready returns true.
-func await(ts *testscript.TestScript, what string, ready func() bool) {
-	for end := time.Now().Add(awaitTimeout); !ready(); time.Sleep(5 * time.Millisecond) {
+func await(ts *testscript.TestScript, limit time.Duration, what string, ready func() bool) {
+	for end := time.Now().Add(limit); !ready(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			ts.Fatalf("timed out waiting for %s", what)
+			ts.Fatalf("timed out after %v waiting for %s", limit, what)
 		}
 	}
 }
 
-// awaitMembers waits until a service has a number of backend servers that take
-// calls: awaitmembers service count.
+// limit takes a leading "-within duration" off the arguments.
+func limit(ts *testscript.TestScript, args []string) (time.Duration, []string) {
+	if len(args) < 2 || args[0] != "-within" {
+		return awaitTimeout, args
+	}
+	d, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	return d, args[2:]
+}
+
+// awaitKV waits for the stand-in of the KV that writes its address to kv.addr,
+// and writes node.toml: awaitkv.
+func awaitKV(ts *testscript.TestScript, _ bool, _ []string) {
+	var address []byte
+	await(ts, awaitTimeout, "the KV", func() (ready bool) {
+		var err error
+		address, err = os.ReadFile(ts.MkAbs("kv.addr"))
+		return err == nil
+	})
+	ts.Setenv("KV", "http://"+string(address))
+	settings(ts, false, []string{"node.toml", "127.0.0.1:0"})
+}
+
+// settings writes settings of a node: settings file control_address.
+func settings(ts *testscript.TestScript, _ bool, args []string) {
+	text := fmt.Sprintf(testSettings, args[1], strings.TrimPrefix(ts.Getenv("KV"), "http://"))
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o644))
+}
+
+// awaitNodes waits until the nodes listen, and sets $NAME to the admin address
+// and $NAME_control to the control address of each: awaitnodes name...
+func awaitNodes(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		var a toucannode.Addresses
+		await(ts, awaitTimeout, "node "+name, func() bool {
+			text, err := os.ReadFile(ts.MkAbs(name + ".json"))
+			return err == nil && json.Unmarshal(text, &a) == nil
+		})
+		ts.Setenv(name, a.Admin)
+		ts.Setenv(name+"_control", a.Control)
+	}
+}
+
+// nodeStatus is the part of GET /status that scripts wait for.
+type nodeStatus struct {
+	Incarnation int64 `json:"incarnation"`
+	Followed    []struct {
+		Service    string `json:"service"`
+		Known      bool   `json:"class_file_known"`
+		Revision   uint64 `json:"revision"`
+		ChosenFrom []struct {
+			State toucannode.ServerState `json:"state"`
+		} `json:"chosen_from"`
+	} `json:"followed"`
+}
+
+// readStatus asks a node for its status; a node that does not answer has an
+// empty one.
+func readStatus(ts *testscript.TestScript, node string) (s nodeStatus) {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + ts.Getenv(node) + "/status")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	ts.Check(json.NewDecoder(resp.Body).Decode(&s))
+	return s
+}
+
+// awaitMembers waits until a node chooses among a number of backend servers of a
+// service that it serves or calls:
+// awaitmembers [-within duration] node service count.
 func awaitMembers(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) != 2 {
-		ts.Fatalf("usage: awaitmembers service count")
-	}
-	d := &fileDirectory{dir: ts.Getenv("TOUCAN_TEST_DIRECTORY")}
-	await(ts, "members of "+args[0], func() bool {
-		alive := 0
-		for _, s := range d.read(args[0]) {
-			if s.State == toucannode.ServerAlive {
-				alive++
+	within, args := limit(ts, args)
+	if len(args) != 3 {
+		ts.Fatalf("usage: awaitmembers [-within duration] node service count")
+	}
+	await(ts, within, args[2]+" members of "+args[1]+" at "+args[0], func() bool {
+		for _, f := range readStatus(ts, args[0]).Followed {
+			alive := 0
+			for _, server := range f.ChosenFrom {
+				if server.State == toucannode.ServerAlive {
+					alive++
+				}
+			}
+			if f.Service == args[1] {
+				return fmt.Sprint(alive) == args[2]
+			}
+		}
+		return false
+	})
+}
+
+// awaitRevision waits until all the nodes show the revision of the class file of
+// a service, and fails when one shows a lower revision than it did before:
+// awaitrevision [-within duration] service revision node...
+func awaitRevision(ts *testscript.TestScript, _ bool, args []string) {
+	within, args := limit(ts, args)
+	shown := ts.Value("shown").(map[string]uint64)
+	await(ts, within, "revision "+args[1]+" of "+args[0]+" at all of "+strings.Join(args[2:], ", "), func() bool {
+		current := 0
+		for _, node := range args[2:] {
+			s := readStatus(ts, node)
+			for _, f := range s.Followed {
+				if f.Service != args[0] || !f.Known {
+					continue
+				}
+				key := fmt.Sprint(node, s.Incarnation, f.Service)
+				if f.Revision < shown[key] {
+					ts.Fatalf("node %s shows revision %d after %d", node, f.Revision, shown[key])
+				}
+				shown[key] = f.Revision
+				if fmt.Sprint(f.Revision) == args[1] {
+					current++
+				}
 			}
 		}
-		return fmt.Sprint(alive) == args[1]
+		return current == len(args)-2
 	})
 }
 
@@ -117,7 +246,7 @@
 	if len(args) != 2 {
 		ts.Fatalf("usage: awaitline file text")
 	}
-	await(ts, args[1], func() bool {
+	await(ts, awaitTimeout, args[1], func() bool {
 		text, err := os.ReadFile(ts.MkAbs(args[0]))
 		return err == nil && strings.Contains(string(text), args[1])
 	})
@@ -130,102 +259,159 @@
 	}
 	count, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	await(ts, args[1]+" lines", func() bool {
+	await(ts, awaitTimeout, args[1]+" lines", func() bool {
 		text, err := os.ReadFile(ts.MkAbs(args[0]))
 		return err == nil && strings.Count(string(text), "\n") >= count
 	})
 }
 
-// terminate sends SIGTERM to the background process that has the given word on
-// its command line.
-func terminate(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) != 1 {
-		ts.Fatalf("usage: terminate word")
+// signalProcess sends a signal to the background process that has the given word
+// on its command line: signal TERM|KILL|STOP|CONT word.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	if len(args) != 2 || signals[args[0]] == 0 {
+		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT word")
 	}
 	for _, c := range ts.BackgroundCmds() {
-		if slices.Contains(c.Args, args[0]) {
-			ts.Check(c.Process.Signal(syscall.SIGTERM))
+		if slices.Contains(c.Args, args[1]) && c.ProcessState == nil {
+			ts.Check(c.Process.Signal(signals[args[0]]))
 			return
 		}
 	}
-	ts.Fatalf("no background process has %q on its command line", args[0])
+	ts.Fatalf("no background process has %q on its command line", args[1])
 }
 
-// exitStatus runs a program and checks its exit status: exitstatus status
-// program args.
-func exitStatus(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) < 2 {
-		ts.Fatalf("usage: exitstatus status program [args...]")
+// race lets the operators anna and bruno apply different class files at the same
+// time, each at a node of its own. One must win and the other must get a conflict
+// that names the winner: race replaces node file node file.
+func race(ts *testscript.TestScript, _ bool, args []string) {
+	toucanhaven := ts.Getenv("TOUCANHAVEN")
+	var wait sync.WaitGroup
+	var errs [2]error
+	var texts [2][]byte
+	for i, author := range []string{"anna", "bruno"} {
+		wait.Go(func() {
+			texts[i], errs[i] = exec.Command(toucanhaven, "apply", "--admin", ts.Getenv(args[1+2*i]),
+				"--replaces", args[0], "--author", author, ts.MkAbs(args[2+2*i])).CombinedOutput()
+		})
 	}
-	err := ts.Exec(args[1], args[2:]...)
-	var exit *exec.ExitError
-	if !errors.As(err, &exit) || fmt.Sprint(exit.ExitCode()) != args[0] {
-		ts.Fatalf("exit status of %v: %v, want %s", args[1:], err, args[0])
+	wait.Wait()
+	for i, loser := range []int{1, 0} {
+		var exit *exec.ExitError
+		if errs[i] == nil && errors.As(errs[loser], &exit) && exit.ExitCode() == exitConflict {
+			winner := []string{"anna", "bruno"}[i]
+			if !strings.Contains(string(texts[loser]), "by "+winner+" is") {
+				ts.Fatalf("the conflict does not name %s: %s", winner, texts[loser])
+			}
+			ts.Setenv("WINNER", winner)
+			return
+		}
 	}
+	ts.Fatalf("want one success and one exit status 3:\n%v %s\n%v %s", errs[0], texts[0], errs[1], texts[1])
 }
 
-// fileDirectory is a directory that several processes share: one file for each
-// backend server.
-type fileDirectory struct {
-	dir string
-
-	mu      sync.Mutex
-	leaving map[string]bool
-}
-
-func (d *fileDirectory) BackendServers(_ context.Context, service string) []toucannode.BackendServer {
-	servers := d.read(service)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i := range servers {
-		if d.leaving[service+servers[i].NodeID] {
-			servers[i].State = toucannode.ServerLeaving
+// checkRuns compares what callers were told with what ran and with the request
+// logs: checkruns caller-output... x.runs... x.log...
+// A request that was answered ran once, one that was not run neither ran nor is
+// logged, and no other ran twice. A backend server x whose node stopped as
+// planned ran exactly the requests in the log x.log of that node.
+func checkRuns(ts *testscript.TestScript, _ bool, args []string) {
+	outcomes, ran, logged := map[string]string{}, map[string]int{}, map[string]int{}
+	total := map[string]int{}
+	for _, file := range args {
+		for line := range strings.Lines(ts.ReadFile(file)) {
+			id := field(line, "request_id")
+			switch {
+			case strings.HasSuffix(file, ".runs"):
+				ran[id]++
+			case !strings.HasSuffix(file, ".log"):
+				if id != "" {
+					outcomes[id] = field(line, "outcome")
+					total[outcomes[id]]++
+				}
+			case field(line, "event") == "request_run":
+				logged[id]++
+			}
+		}
+		if log := strings.TrimSuffix(file, ".runs") + ".log"; slices.Contains(args, log) && log != file {
+			checkLog(ts, file, log)
 		}
 	}
-	return servers
+	for id, outcome := range outcomes {
+		ok := ran[id] <= 1 && logged[id] <= 1
+		switch outcome {
+		case "answered":
+			ok = ok && ran[id] == 1
+		case "not_run":
+			ok = ran[id] == 0 && logged[id] == 0
+		}
+		if !ok {
+			ts.Fatalf("request %s: outcome %s, ran %d times, logged %d times", id, outcome, ran[id], logged[id])
+		}
+	}
+	ts.Logf("outcomes %v, runs %d, logged %d", total, len(ran), len(logged))
 }
 
-func (d *fileDirectory) read(service string) (servers []toucannode.BackendServer) {
-	files, _ := filepath.Glob(filepath.Join(d.dir, service, "*.json"))
-	for _, file := range files {
-		var s toucannode.BackendServer
-		text, err := os.ReadFile(file)
-		if err == nil && json.Unmarshal(text, &s) == nil {
-			servers = append(servers, s)
+// checkOrder checks that requests numbered by a caller were answered out of
+// order: checkorder caller-output.
+func checkOrder(ts *testscript.TestScript, _ bool, args []string) {
+	last, overtaken := -1, 0
+	for line := range strings.Lines(ts.ReadFile(args[0])) {
+		if id := field(line, "request_id"); id != "" {
+			n, err := strconv.Atoi(strings.TrimLeft(id, "abcdefghijklmnopqrstuvwxyz"))
+			ts.Check(err)
+			if n < last {
+				overtaken++
+			}
+			last = max(n, last)
 		}
 	}
-	return servers
+	if overtaken == 0 {
+		ts.Fatalf("all answers came in order, so the order was not tested")
+	}
 }
 
-func (d *fileDirectory) MarkLeaving(service, nodeID string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.leaving == nil {
-		d.leaving = map[string]bool{}
+// checkLog compares the runs of a backend server with the log of its node.
+func checkLog(ts *testscript.TestScript, runs, log string) {
+	text := ts.ReadFile(log)
+	if !strings.Contains(text, "event=stopped whole=true") {
+		return // killed: the last runs may be missing in the log
+	}
+	ran, logged := map[string]int{}, map[string]int{}
+	for line := range strings.Lines(ts.ReadFile(runs)) {
+		ran[field(line, "request_id")]++
+	}
+	for line := range strings.Lines(text) {
+		if field(line, "event") == "request_run" {
+			logged[field(line, "request_id")]++
+		}
+	}
+	if !maps.Equal(ran, logged) {
+		ts.Fatalf("%s and %s differ:\nran    %v\nlogged %v", runs, log, ran, logged)
 	}
-	d.leaving[service+nodeID] = true
 }
 
-func (d *fileDirectory) MarkUnreachable(string, string) {}
-
-func (d *fileDirectory) Announce(service string, self toucannode.BackendServer) {
-	d.write(service, self)
+// field returns a value of a line of key=value pairs.
+func field(line, key string) string {
+	for _, pair := range strings.Fields(line) {
+		if value, ok := strings.CutPrefix(pair, key+"="); ok {
+			return value
+		}
+	}
+	return ""
 }
-func (d *fileDirectory) Leave(service string, self toucannode.BackendServer) { d.write(service, self) }
 
-func (d *fileDirectory) write(service string, self toucannode.BackendServer) {
-	file := filepath.Join(d.dir, service, self.NodeID+".json")
-	text, err := json.Marshal(self)
-	if err == nil {
-		err = os.MkdirAll(filepath.Dir(file), 0o755)
-	}
-	if err == nil {
-		err = os.WriteFile(file+".part", text, 0o644)
-	}
-	if err == nil {
-		err = os.Rename(file+".part", file)
+// exitStatus runs a program and checks its exit status: exitstatus status
+// program args.
+func exitStatus(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: exitstatus status program [args...]")
 	}
-	if err != nil {
-		panic(err) // only tests use this type
+	err := ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || fmt.Sprint(exit.ExitCode()) != args[0] {
+		ts.Fatalf("exit status of %v: %v, want %s", args[1:], err, args[0])
 	}
 }
--- a/cmd/toucanstub/backend.go
+++ b/cmd/toucanstub/backend.go
@@ -63,6 +63,7 @@
 	slots    chan struct{}
 	maxQueue int64
 	time     time.Duration
+	jitter   time.Duration
 	size     int
 	children []child
 	node     string // caller address of the node beside the server
@@ -109,6 +110,7 @@
 	sub.Int(&slots, "", "slots", "requests that run at the same time")
 	sub.Int(&queue, "", "queue", "requests that wait before the server sheds load")
 	sub.Duration(&b.time, "", "time", "service time of a request")
+	sub.Duration(&b.jitter, "", "jitter", "largest random addition to the service time")
 	sub.Int(&b.size, "", "size", "least size of an answer in bytes")
 	sub.StringSlice(&children, "", "child", "call made by each request, as service:method:path")
 	return command{sub: sub, run: func() int {
@@ -240,7 +242,7 @@
 }
 
 func (b *backend) work(w http.ResponseWriter, r *http.Request, present fault) {
-	received, err := io.Copy(io.Discard, r.Body)
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -248,7 +250,7 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	duration := b.time
+	duration := b.time + time.Duration(rand.Float64()*float64(b.jitter))
 	if present == faultSlow {
 		duration *= slowFactor
 	}
@@ -259,8 +261,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := fmt.Sprintf("service=%s method=%s uri=%s request_id=%s body_bytes=%d\n",
-		b.service, r.Method, r.RequestURI, r.Header.Get(toucancall.HeaderRequestID), received)
+		b.service, r.Method, r.RequestURI, r.Header.Get(toucancall.HeaderRequestID), len(body))
 	answer += strings.Repeat(".", max(b.size-len(answer), 0))
+	word, _, _ := bytes.Cut(body, []byte(" "))
+	answer += string(word[:min(len(word), toucancall.MaxNameBytes)])
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if present == faultBreak {
 		io.WriteString(w, answer[:len(answer)/2])
@@ -298,12 +302,15 @@
 		if err != nil {
 			return fmt.Errorf("child call to %s: %w", c.service, err)
 		}
-		_, err = io.Copy(io.Discard, resp.Body)
+		answer, err := io.ReadAll(resp.Body)
 		resp.Body.Close()
 		if outcome := resp.Header.Get(toucancall.HeaderOutcome); err != nil || outcome != string(toucancall.Answered) || resp.StatusCode >= 300 {
 			return fmt.Errorf("child call to %s: status %d, outcome %s, reason %s, error %v",
 				c.service, resp.StatusCode, outcome, resp.Header.Get(toucancall.HeaderReason), err)
 		}
+		if id := r.Header.Get(toucancall.HeaderRequestID); !strings.Contains(string(answer), " request_id="+id+" ") {
+			return fmt.Errorf("child call to %s: the answer %.100q is not that of request %s", c.service, answer, id)
+		}
 	}
 	return nil
 }
--- a/cmd/toucanstub/caller.go
+++ b/cmd/toucanstub/caller.go
@@ -15,11 +15,11 @@
 
 // caller sends requests to a node and prints one line for each.
 type caller struct {
-	service, method, path, tenant, key, requestID string
-	bodyBytes                                     int
-	count, concurrency                            int
-	interval, timeout                             time.Duration
-	client                                        *http.Client
+	service, method, path, tenant, key, requestID, idPrefix string
+	bodyBytes                                               int
+	count, concurrency                                      int
+	interval, timeout                                       time.Duration
+	client                                                  *http.Client
 
 	mu    sync.Mutex
 	total map[string]int
@@ -40,6 +40,7 @@
 	sub.String(&c.tenant, "", "tenant", "tenant of the requests")
 	sub.String(&c.key, "", "key", "idempotency key of the requests")
 	sub.String(&c.requestID, "", "request-id", "request id of the requests")
+	sub.String(&c.idPrefix, "", "id-prefix", "gives each request an id of its own, which its body and its answer must carry")
 	sub.Int(&c.bodyBytes, "", "body-bytes", "size of the request body")
 	sub.Int(&c.count, "", "count", "number of requests")
 	sub.Int(&c.concurrency, "", "concurrency", "requests in flight at the same time")
@@ -65,8 +66,8 @@
 	var wait sync.WaitGroup
 	for range c.concurrency {
 		wait.Go(func() {
-			for range work {
-				c.send(url)
+			for i := range work {
+				c.send(url, i)
 				time.Sleep(c.interval)
 			}
 		})
@@ -79,21 +80,27 @@
 }
 
 // send makes one request. An answer that breaks off counts as broken.
-func (c *caller) send(url string) {
+func (c *caller) send(url string, i int) {
+	id, content := c.requestID, ""
+	if c.idPrefix != "" {
+		id = fmt.Sprint(c.idPrefix, i)
+		content = id + " "
+	}
+	content += strings.Repeat("b", max(c.bodyBytes-len(content), 0))
 	var body io.Reader
-	if c.bodyBytes > 0 {
-		body = strings.NewReader(strings.Repeat("b", c.bodyBytes))
+	if content != "" {
+		body = strings.NewReader(content)
 	}
 	req, err := http.NewRequest(c.method, url, body)
 	if err != nil {
-		c.record("broken", "error=%q", err)
+		c.record("broken", "request_id=%s error=%q", id, err)
 		return
 	}
 	req.GetBody = nil // keeps the client from repeating the request by itself
 	req.Header.Set(toucancall.HeaderService, c.service)
 	req.Header.Set(toucancall.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
 	for field, value := range map[string]string{
-		toucancall.HeaderTenant: c.tenant, toucancall.HeaderIdempotencyKey: c.key, toucancall.HeaderRequestID: c.requestID,
+		toucancall.HeaderTenant: c.tenant, toucancall.HeaderIdempotencyKey: c.key, toucancall.HeaderRequestID: id,
 	} {
 		if value != "" {
 			req.Header.Set(field, value)
@@ -101,18 +108,24 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		c.record("broken", "error=%q", err)
+		c.record("broken", "request_id=%s error=%q", id, err)
 		return
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
-		c.record("broken", "status=%d bytes=%d error=%q", resp.StatusCode, len(answer), err)
+		c.record("broken", "status=%d bytes=%d error=%q request_id=%s", resp.StatusCode, len(answer), err, id)
+		return
+	}
+	line, rest, _ := strings.Cut(string(answer), "\n")
+	outcome := resp.Header.Get(toucancall.HeaderOutcome)
+	if c.idPrefix != "" && outcome == string(toucancall.Answered) && resp.StatusCode < 300 &&
+		(!strings.Contains(line, " request_id="+id+" ") || strings.TrimLeft(rest, ".") != id) {
+		c.record("broken", "request_id=%s error=%q", id, fmt.Sprintf("not the answer to this request: %.200q", answer))
 		return
 	}
-	line, _, _ := strings.Cut(string(answer), "\n")
-	c.record(resp.Header.Get(toucancall.HeaderOutcome), "status=%d reason=%s bytes=%d answer=%q",
-		resp.StatusCode, resp.Header.Get(toucancall.HeaderReason), len(answer), line)
+	c.record(outcome, "status=%d reason=%s bytes=%d request_id=%s answer=%q",
+		resp.StatusCode, resp.Header.Get(toucancall.HeaderReason), len(answer), id, line)
 }
 
 func (c *caller) record(outcome, format string, args ...any) {
--- a/toucannode/admin.go
+++ b/toucannode/admin.go
@@ -40,6 +40,23 @@
 	Queued         int       `json:"queued"`
 	Load           float64   `json:"load"`
 	Started        time.Time `json:"started"`
+
+	Members  []memberStatus   `json:"members"`  // of the local backend server's service
+	Followed []followedStatus `json:"followed"` // services served or called here
+}
+
+type memberStatus struct {
+	ID    string      `json:"id"`
+	State ServerState `json:"state"`
+}
+
+// followedStatus is what a node knows of a service. Calls are not served before
+// a peer or the KV has told the class file.
+type followedStatus struct {
+	Service        string         `json:"service"`
+	ClassFileKnown bool           `json:"class_file_known"`
+	Revision       uint64         `json:"revision"`
+	ChosenFrom     []memberStatus `json:"chosen_from"`
 }
 
 func (n *Node) adminHandlers() {
@@ -133,6 +150,9 @@
 	s.DataCentre, s.Region = n.settings.DataCentre, n.settings.Region
 	a := n.admission.Status()
 	s.Limit, s.Running, s.Queued, s.Load = a.Limit, a.Running, a.Queued, float64(n.admission.Load())
+	if n.reportPlane != nil {
+		n.reportPlane(&s)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s) // a client that left needs no status
 }
--- a/toucannode/config.go
+++ b/toucannode/config.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -124,6 +126,21 @@
 	return s
 }
 
+// status returns the followed services by name, each with its known servers.
+func (c *configuration) status(known func(service string) []memberStatus) []followedStatus {
+	c.mu.Lock()
+	list := make([]followedStatus, 0, len(c.services))
+	for service, s := range c.services {
+		list = append(list, followedStatus{Service: service, ClassFileKnown: s.isReady, Revision: s.spread.Revision()})
+	}
+	c.mu.Unlock()
+	for i := range list {
+		list[i].ChosenFrom = known(list[i].Service)
+	}
+	slices.SortFunc(list, func(a, b followedStatus) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
 // forget drops a service that this node no longer calls.
 func (c *configuration) forget(service string) {
 	c.mu.Lock()
--- a/toucannode/member.go
+++ b/toucannode/member.go
@@ -183,6 +183,34 @@
 	}
 }
 
+// status returns the members of the local backend server's service.
+func (m *membership) status() []memberStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return memberStatuses(m.local)
+}
+
+// known returns the backend servers of a service that calls are spread over.
+func (m *membership) known(service string) []memberStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.group != nil && m.service == service {
+		return memberStatuses(m.local)
+	}
+	if view := m.views[service]; view != nil {
+		return memberStatuses(view.servers)
+	}
+	return []memberStatus{}
+}
+
+func memberStatuses(servers []BackendServer) []memberStatus {
+	list := make([]memberStatus, len(servers))
+	for i, s := range servers {
+		list[i] = memberStatus{ID: s.NodeID, State: s.State}
+	}
+	return list
+}
+
 func (m *membership) tick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -90,6 +90,8 @@
 	control  *rpc.Server
 	clients  *controlClients
 
+	reportPlane func(*status) // adds membership and configuration, if the node has its own
+
 	listeners  []net.Listener // caller, peer, control, admin
 	servers    []*http.Server // caller, peer, admin
 	peerConns  atomic.Int64
@@ -190,6 +192,9 @@
 	n.loops = append(n.loops,
 		func() { every(n.ctx, toucanmember.TickPeriod, members.tick) },
 		func() { every(n.ctx, configTick, config.tick) })
+	n.reportPlane = func(s *status) {
+		s.Members, s.Followed = members.status(), config.status(members.known)
+	}
 	prepare := func(ctx context.Context, service string) { members.BackendServers(ctx, service) }
 	config.admin(prepare).Register(n.admin)
 	return errors.Join(
