--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -85,6 +85,8 @@
 			"checkorder":    checkOrder,
 			"checkruns":     checkRuns,
 			"exitstatus":    exitStatus,
+			"issuekeys":     issueKeys,
+			"agree":         agree,
 		},
 	})
 }
@@ -393,9 +395,11 @@
 	}
 }
 
-// field returns a value of a line of key=value pairs.
+// field returns a value of a line of key=value pairs. It takes the last one,
+// because a caller's line quotes the answer before its own request id.
 func field(line, key string) string {
-	for _, pair := range strings.Fields(line) {
+	pairs := strings.Fields(line)
+	for _, pair := range slices.Backward(pairs) {
 		if value, ok := strings.CutPrefix(pair, key+"="); ok {
 			return value
 		}
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -63,7 +63,7 @@
 // nodeFields are the request fields that only nodes set.
 var nodeFields = []string{
 	toucancall.HeaderClass, toucancall.HeaderRank, toucancall.HeaderLevel,
-	toucancall.HeaderRetries, toucancall.HeaderDepth, toucancall.HeaderParent,
+	toucancall.HeaderRetries, toucancall.HeaderDepth, toucancall.HeaderParent, toucancall.HeaderCallerKey,
 }
 
 // local is the backend server beside the node.
@@ -147,17 +147,21 @@
 }
 
 // findClass finds out whether the call may run at most once. Until the class
-// file is known, only a call of a service that is not beside this node gets
-// further, to be refused.
+// file is known, only a call with an issued key gets further, which is always
+// at-most-once, and a call of a service that is not beside this node, which is
+// refused.
 func (r *run) findClass(ctx context.Context) (revision uint64, rep *reply) {
+	r.atMostOnce = issuedKey(r.call.IdempotencyKey)
 	if !r.n.local.serves(r.call.Service) {
 		return 0, nil
 	}
 	file, revision, err := r.n.files.ClassFile(ctx, r.call.Service)
 	switch {
 	case err == nil:
-		r.atMostOnce = file.Match(r.in.r.Method, r.in.r.URL.Path).AtMostOnce
+		r.atMostOnce = r.atMostOnce || file.Match(r.in.r.Method, r.in.r.URL.Path).AtMostOnce
 		return revision, nil
+	case r.atMostOnce:
+		return 0, nil
 	case r.call.IdempotencyKey != "":
 		return 0, r.unused(refused(toucancall.Unknown, toucancall.ReasonNotForwarded, err.Error()))
 	}
@@ -250,6 +254,9 @@
 		n.log.LogAttrs(ctx, slog.LevelInfo, "request_start", r.identity()...)
 	}
 	out := r.in.outgoing(r.backendFields())
+	if r.once != nil {
+		out.confirm = r.once.Confirm
+	}
 	x, err := n.backends.send(ctx, r.call.Deadline, address, out, forwardInterim(r.in.w))
 	if err != nil {
 		rep := n.classify(ctx, err, r.in.body)
@@ -345,7 +352,7 @@
 
 // identity is what the log lines of one run have in common.
 func (r *run) identity() []slog.Attr {
-	attrs := make([]slog.Attr, 0, 12)
+	attrs := make([]slog.Attr, 0, 13)
 	return append(attrs,
 		slog.String("request_id", r.call.RequestID),
 		slog.String("service", r.call.Service),
@@ -355,5 +362,6 @@
 		slog.String("path", r.in.r.URL.Path),
 		slog.Int("depth", r.call.Depth),
 		slog.String("idempotency_key", r.call.IdempotencyKey),
+		slog.String("caller_key", callerKey(r.call, r.in.r)),
 	)
 }
