--- a/cmd/toucanstub/caller.go
+++ b/cmd/toucanstub/caller.go
@@ -16,12 +16,12 @@
 
 // caller sends requests to a node and prints one line for each.
 type caller struct {
-	service, method, path, tenant, key, requestID string
-	bodyBytes                                     int
-	count, concurrency                            int
-	interval, timeout                             time.Duration
-	keys                                          []string // one for each request; empty without a keys file
-	client                                        *http.Client
+	service, method, path, tenant, key, requestID, idPrefix string
+	bodyBytes                                               int
+	count, concurrency                                      int
+	interval, timeout                                       time.Duration
+	keys                                                    []string // one for each request; empty without a keys file
+	client                                                  *http.Client
 
 	mu    sync.Mutex
 	total map[string]int
@@ -43,6 +43,7 @@
 	sub.String(&c.key, "", "key", "idempotency key of the requests")
 	sub.String(&keysFile, "", "keys", "file with one idempotency key a line, one for each request, which gets the id order- and its number")
 	sub.String(&c.requestID, "", "request-id", "request id of the requests")
+	sub.String(&c.idPrefix, "", "id-prefix", "gives each request an id of its own, which its body and its answer must carry")
 	sub.Int(&c.bodyBytes, "", "body-bytes", "size of the request body")
 	sub.Int(&c.count, "", "count", "number of requests")
 	sub.Int(&c.concurrency, "", "concurrency", "requests in flight at the same time")
@@ -95,9 +96,15 @@
 	if len(c.keys) > 0 {
 		key, requestID = c.keys[i], fmt.Sprintf("order-%d", i)
 	}
+	content := ""
+	if c.idPrefix != "" {
+		requestID = fmt.Sprint(c.idPrefix, i)
+		content = requestID + " "
+	}
+	content += strings.Repeat("b", max(c.bodyBytes-len(content), 0))
 	var body io.Reader
-	if c.bodyBytes > 0 {
-		body = strings.NewReader(strings.Repeat("b", c.bodyBytes))
+	if content != "" {
+		body = strings.NewReader(content)
 	}
 	req, err := http.NewRequest(c.method, url, body)
 	if err != nil {
@@ -125,8 +132,14 @@
 		c.record(requestID, "broken", "status=%d bytes=%d error=%q", resp.StatusCode, len(answer), err)
 		return
 	}
-	line, _, _ := strings.Cut(string(answer), "\n")
-	c.record(requestID, resp.Header.Get(toucancall.HeaderOutcome), "status=%d reason=%s bytes=%d answer=%q",
+	line, rest, _ := strings.Cut(string(answer), "\n")
+	outcome := resp.Header.Get(toucancall.HeaderOutcome)
+	if c.idPrefix != "" && outcome == string(toucancall.Answered) && resp.StatusCode < 300 &&
+		(!strings.Contains(line, " request_id="+requestID+" ") || strings.TrimLeft(rest, ".") != requestID) {
+		c.record(requestID, "broken", "error=%q", fmt.Sprintf("not the answer to this request: %.200q", answer))
+		return
+	}
+	c.record(requestID, outcome, "status=%d reason=%s bytes=%d answer=%q",
 		resp.StatusCode, resp.Header.Get(toucancall.HeaderReason), len(answer), line)
 }
 
