--- a/cmd/toucanstub/main.go
+++ b/cmd/toucanstub/main.go
@@ -1,5 +1,5 @@
 // Command toucanstub runs stand-ins for tests: the key-value service, a backend
-// server and a caller.
+// server, a caller and a load generator.
 package main
 
 import (
@@ -32,7 +32,7 @@
 	parser := flaggy.NewParser("toucanstub")
 	parser.Description = "stand-ins for tests of toucanhaven"
 	parser.ShowCompletion = false
-	commands := []command{kvCommand(), backendCommand(), callerCommand()}
+	commands := []command{kvCommand(), backendCommand(), callerCommand(), loadCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
