toucannode: hold the fields of a hop in a slice

The map of hop fields took 17% of the bytes allocated per call at the entry and 13% at the node beside the backend server (allocation profiles at 3,000 calls/s). The caller's idempotency key is now written from the metadata, which was read from the same field.

--- a/toucancall/header.go
+++ b/toucancall/header.go
@@ -118,24 +118,28 @@
 
 // SetHeaders writes the metadata that travels between nodes.
 func (c Call) SetHeaders(h http.Header, now time.Time) {
-	h.Set(HeaderService, c.Service)
-	h.Set(HeaderRequestID, c.RequestID)
-	h.Set(HeaderTimeout, strconv.FormatInt(c.Remaining(now).Milliseconds(), 10))
-	h.Set(HeaderClass, c.Class)
-	h.Set(HeaderRank, c.Rank.String())
-	h.Set(HeaderLevel, strconv.Itoa(c.Level))
-	h.Set(HeaderRetries, strconv.Itoa(c.Retries))
-	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
-	setOrDelete(h, HeaderTenant, c.Tenant)
-	setOrDelete(h, HeaderIdempotencyKey, c.IdempotencyKey)
+	c.EachHeader(now, func(field, value string) {
+		if value == "" {
+			h.Del(field)
+			return
+		}
+		h.Set(field, value)
+	})
 }
 
-func setOrDelete(h http.Header, field, value string) {
-	if value == "" {
-		h.Del(field)
-		return
-	}
-	h.Set(field, value)
+// EachHeader passes each header field that travels between nodes to set. The
+// value of a field that is left out is empty.
+func (c Call) EachHeader(now time.Time, set func(field, value string)) {
+	set(HeaderService, c.Service)
+	set(HeaderRequestID, c.RequestID)
+	set(HeaderTimeout, strconv.FormatInt(c.Remaining(now).Milliseconds(), 10))
+	set(HeaderClass, c.Class)
+	set(HeaderRank, c.Rank.String())
+	set(HeaderLevel, strconv.Itoa(c.Level))
+	set(HeaderRetries, strconv.Itoa(c.Retries))
+	set(HeaderDepth, strconv.Itoa(c.Depth))
+	set(HeaderTenant, c.Tenant)
+	set(HeaderIdempotencyKey, c.IdempotencyKey)
 }
 
 func name(h http.Header, field string, required bool) (string, error) {
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -331,9 +331,8 @@
 
 // callPeer sends the call to the node beside another backend server.
 func (n *Node) callPeer(ctx context.Context, call toucancall.Call, address string, in *inbound) *reply {
-	extra := make(http.Header, 16)
-	call.SetHeaders(extra, n.clock.Now())
-	extra[toucancall.HeaderTenant] = optional(call.Tenant)
+	extra := make(fields, 0, hopFields)
+	call.EachHeader(n.clock.Now(), extra.set)
 	out := in.outgoing(extra)
 	x, err := n.peers.send(ctx, call.Deadline.Add(peerGrace), address, out, forwardInterim(in.w))
 	if err != nil {
--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -19,10 +19,30 @@
 type outgoing struct {
 	method, uri, host string
 	header            http.Header // end-to-end fields
-	extra             http.Header // fields of the hop, which replace those in header
+	extra             fields      // fields of the hop, which replace those in header
 	body              *inboundBody
 }
 
+// fields are header fields with one value each; an empty value leaves the field
+// out. A slice of about 15 fields takes a quarter of the memory of a map.
+type fields []field
+
+type field struct{ key, value string }
+
+// hopFields is the capacity that the fields of one hop need.
+const hopFields = 20
+
+func (f *fields) set(key, value string) { *f = append(*f, field{key, value}) }
+
+func (f fields) has(key string) bool {
+	for i := range f {
+		if f[i].key == key {
+			return true
+		}
+	}
+	return false
+}
+
 // sendError says how far a request came that has no answer.
 type sendError struct {
 	sent     bool // at least one byte of the request was written
@@ -204,26 +224,27 @@
 	b = append(b, "\r\n"...)
 	connection := out.header["Connection"]
 	for key, values := range out.header {
-		if _, replaced := out.extra[key]; replaced || hopByHop(key, connection) {
+		if out.extra.has(key) || hopByHop(key, connection) {
 			continue
 		}
-		b = appendField(b, key, values)
+		for _, value := range values {
+			b = appendField(b, key, value)
+		}
 	}
-	for key, values := range out.extra {
-		b = appendField(b, key, values)
+	for _, f := range out.extra {
+		if f.value != "" {
+			b = appendField(b, f.key, f.value)
+		}
 	}
 	b = out.body.appendFraming(b)
 	return append(b, "\r\n"...)
 }
 
-func appendField(b []byte, key string, values []string) []byte {
-	for _, value := range values {
-		b = append(b, key...)
-		b = append(b, ": "...)
-		b = append(b, value...)
-		b = append(b, "\r\n"...)
-	}
-	return b
+func appendField(b []byte, key, value string) []byte {
+	b = append(b, key...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
 }
 
 // hopByHop reports whether a header field ends at this hop: the fields that
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -43,15 +43,17 @@
 
 // outgoing builds the request of the next hop. Fields in extra replace those
 // of the caller.
-func (in *inbound) outgoing(extra http.Header) *outgoing {
-	for _, field := range nodeFields {
-		if _, ok := extra[field]; !ok {
-			extra[field] = nil
+func (in *inbound) outgoing(extra fields) *outgoing {
+	for _, key := range nodeFields {
+		if !extra.has(key) {
+			extra.set(key, "")
 		}
 	}
 	for _, value := range in.r.Header["Te"] {
 		if strings.Contains(value, "trailers") {
-			extra["Te"], extra["Connection"] = []string{"trailers"}, []string{"Te"}
+			extra.set("Te", "trailers")
+			extra.set("Connection", "Te")
+			break
 		}
 	}
 	return &outgoing{
@@ -274,21 +276,13 @@
 }
 
 // backendFields are the metadata that the backend server receives.
-func (r *run) backendFields() http.Header {
-	h := make(http.Header, 16)
-	h[toucancall.HeaderRequestID] = []string{r.call.RequestID}
-	h[toucancall.HeaderTenant] = optional(r.call.Tenant)
-	h[toucancall.HeaderParent] = []string{r.parent.token}
-	h[toucancall.HeaderTimeout] = []string{milliseconds(r.call.Remaining(r.n.clock.Now()))}
-	return h
-}
-
-// optional returns the values of a field that is left out when empty.
-func optional(value string) []string {
-	if value == "" {
-		return nil
-	}
-	return []string{value}
+func (r *run) backendFields() fields {
+	f := make(fields, 0, hopFields)
+	f.set(toucancall.HeaderRequestID, r.call.RequestID)
+	f.set(toucancall.HeaderTenant, r.call.Tenant)
+	f.set(toucancall.HeaderParent, r.parent.token)
+	f.set(toucancall.HeaderTimeout, milliseconds(r.call.Remaining(r.n.clock.Now())))
+	return f
 }
 
 // finish ends the run, or arranges its end for an answer that is still being
