--- a/toucannode/control_test.go
+++ b/toucannode/control_test.go
@@ -24,6 +24,12 @@
 	return nil
 }
 
+func (controlEcho) Slow(size int, answer *[]byte) error {
+	time.Sleep(time.Millisecond)
+	*answer = make([]byte, size)
+	return nil
+}
+
 func serveEcho(t *testing.T) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,6 +65,24 @@
 	is.Equal(answer, "b")
 }
 
+// Guards against an answer that net/rpc still decodes after the call has ended,
+// which the race detector reports, and against a write that blocks for ever.
+func TestControlAnswerIsNotWrittenLate(t *testing.T) {
+	address := serveEcho(t)
+	clients := &controlClients{clock: toucanclock.System{}}
+	defer clients.close()
+	for i := range 100 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond+time.Duration(i)*20*time.Microsecond)
+		var answer []byte
+		err := clients.call(ctx, address, "Echo.Slow", 1<<20, &answer)
+		if err == nil && len(answer) != 1<<20 {
+			t.Errorf("answer of %d bytes", len(answer))
+		}
+		answer = nil
+		cancel()
+	}
+}
+
 // Guards against unbounded connections and against connections kept open for
 // ever.
 func TestControlClientsAreBounded(t *testing.T) {
