--- a/toucannode/control_test.go
+++ b/toucannode/control_test.go
@@ -24,9 +24,8 @@
 	return nil
 }
 
-func (controlEcho) Slow(size int, answer *[]byte) error {
-	time.Sleep(time.Millisecond)
-	*answer = make([]byte, size)
+func (controlEcho) Long(size int, answer *[]string) error {
+	*answer = make([]string, size)
 	return nil
 }
 
@@ -71,14 +70,17 @@
 	address := serveEcho(t)
 	clients := &controlClients{clock: toucanclock.System{}}
 	defer clients.close()
-	for i := range 100 {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond+time.Duration(i)*20*time.Microsecond)
-		var answer []byte
-		err := clients.call(ctx, address, "Echo.Slow", 1<<20, &answer)
-		if err == nil && len(answer) != 1<<20 {
-			t.Errorf("answer of %d bytes", len(answer))
+	const size = 200_000
+	for i := range 50 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*time.Millisecond)
+		var answer []string
+		err := clients.call(ctx, address, "Echo.Long", size, &answer)
+		for j := range answer {
+			answer[j] = "read and written by the caller"
+		}
+		if err == nil && len(answer) != size {
+			t.Errorf("answer of %d elements", len(answer))
 		}
-		answer = nil
 		cancel()
 	}
 }
