--- a/bench/idle.sh
+++ b/bench/idle.sh
@@ -1,14 +1,17 @@
 #!/usr/bin/env bash
 # Measures what an idle node that follows several services uses for control.
-# Arguments: the numbers of services. IDLE is the time, 60s by default.
+# Arguments: the numbers of services. IDLE is the time, 60s by default; MEMBERS is
+# the number of members of each service.
 . "$(dirname "$0")/fleet.sh"
 start_kv
 most=0
 counts=${@:-1 3 5 10}
 for count in $counts; do most=$((count > most ? count : most)); done
 for i in $(seq "$most"); do
-	start_node "node$i"
-	start_backend "service$i" "node$i"
+	for j in $(seq "${MEMBERS:-2}"); do
+		start_node "node${i}_$j"
+		start_backend "service$i" "node${i}_$j"
+	done
 done
 loads=()
 for count in $counts; do
@@ -16,7 +19,7 @@
 	entry="entry${count}_pid"
 	services=$(seq -f 'service%g' -s , "$count")
 	"$work/toucanstub" load --node "$work/entry$count.json" --service "$services" --idle "${IDLE:-60s}" \
-		--process "entry=${!entry}" --process "member=$node1_pid" &
+		--process "entry=${!entry}" --process "member=$node1_1_pid" &
 	loads+=($!)
 done
 for pid in "${loads[@]}"; do wait "$pid"; done
