--- a/toucannode/control.go
+++ b/toucannode/control.go
@@ -35,7 +35,7 @@
 
 // call sends one message and waits for its answer until ctx ends. A connection
 // that failed or whose answer did not come in time is closed, because net/rpc
-// cannot take a message back.
+// cannot take a message back. Nothing writes to answer after call has returned.
 func (c *controlClients) call(ctx context.Context, address, method string, args, answer any) (err error) {
 	defer func() {
 		if err != nil {
@@ -46,11 +46,10 @@
 	if err != nil {
 		return err
 	}
-	pending := client.Go(method, args, answer, make(chan *rpc.Call, 1))
-	select {
-	case <-pending.Done:
-		err = pending.Error
-	case <-ctx.Done():
+	// Closing the connection also ends a write that blocks on a frozen peer.
+	stop := context.AfterFunc(ctx, func() { c.drop(address, client) })
+	err = client.Call(method, args, answer)
+	if !stop() && err != nil {
 		err = ctx.Err()
 	}
 	if _, answered := err.(rpc.ServerError); err != nil && !answered {
--- a/toucannode/defaults.go
+++ b/toucannode/defaults.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sync"
 
-	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
 )
 
@@ -86,81 +85,3 @@
 
 // half is the part of an allowance that is lent, rounded up.
 func half(held int) int { return (held + 1) / 2 }
-
-// memoryOnce remembers keys inside one process. It forwards keys to no home, so
-// it protects only calls that reach the same node.
-type memoryOnce struct {
-	mu   sync.Mutex
-	runs map[string]*memoryRun
-}
-
-// maxMemoryKeys bounds the keys of a memoryOnce. No key is forgotten, so it
-// accepts no new one beyond the bound.
-const maxMemoryKeys = 65_536
-
-type memoryRun struct {
-	done    chan struct{}
-	outcome toucancall.Outcome
-	reason  toucancall.Reason
-	answer  *StoredAnswer
-}
-
-func (*memoryOnce) Home(context.Context, toucancall.Call) (string, *Refusal) { return "", nil }
-
-func (m *memoryOnce) Begin(ctx context.Context, c toucancall.Call) (OnceRun, *StoredAnswer, *Refusal) {
-	if c.IdempotencyKey == "" {
-		return nil, nil, nil
-	}
-	key := c.Service + " " + c.IdempotencyKey
-	m.mu.Lock()
-	earlier := m.runs[key]
-	if earlier == nil && len(m.runs) >= maxMemoryKeys {
-		m.mu.Unlock()
-		return nil, nil, &Refusal{Outcome: toucancall.Unknown, Reason: toucancall.ReasonKeyUnknown}
-	}
-	if earlier == nil {
-		run := &memoryRun{done: make(chan struct{})}
-		if m.runs == nil {
-			m.runs = map[string]*memoryRun{}
-		}
-		m.runs[key] = run
-		m.mu.Unlock()
-		return run, nil, nil
-	}
-	m.mu.Unlock()
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	defer cancel()
-	select {
-	case <-earlier.done:
-	case <-ctx.Done():
-		return nil, nil, &Refusal{Outcome: toucancall.Unknown, Reason: toucancall.ReasonDeadline}
-	}
-	if earlier.answer != nil {
-		return nil, earlier.answer, nil
-	}
-	if earlier.outcome == toucancall.Answered {
-		return nil, nil, &Refusal{Outcome: toucancall.Unknown, Reason: toucancall.ReasonAnswerForgotten}
-	}
-	return nil, nil, &Refusal{Outcome: earlier.outcome, Reason: earlier.reason}
-}
-
-func (r *memoryRun) Finish(o toucancall.Outcome, reason toucancall.Reason, a *StoredAnswer) {
-	r.outcome, r.reason, r.answer = o, reason, a
-	close(r.done)
-}
-
-func (r *memoryRun) Withdraw() { r.Finish(toucancall.NotRun, toucancall.ReasonKeyRefused, nil) }
-
-func (*memoryOnce) Refuse(_ context.Context, c toucancall.Call) (toucancall.Outcome, toucancall.Reason) {
-	return toucancall.Unknown, toucancall.ReasonNotForwarded
-}
-
-func (m *memoryOnce) Issue(_ context.Context, _ string, count int) ([]string, error) {
-	keys := make([]string, count)
-	for i := range keys {
-		keys[i] = newToken()
-	}
-	return keys, nil
-}
-
-func (*memoryOnce) Seal(context.Context) error { return nil }
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -46,7 +46,6 @@
 	Settings   toucansettings.Settings
 	Logger     *slog.Logger
 	Clock      toucanclock.Clock
-	KV         toucankv.Store
 	Directory  Directory
 	ClassFiles ClassFiles
 	Admission  Admission
@@ -54,6 +53,7 @@
 	Chooser    Chooser
 	Retries    Retries
 	Once       Once
+	KV         toucankv.Store // nil for a client of the address in the settings
 }
 
 // Addresses are the addresses on which a node listens.
@@ -69,7 +69,6 @@
 	settings    toucansettings.Settings
 	log         *slog.Logger
 	clock       toucanclock.Clock
-	kv          toucankv.Store
 	directory   Directory
 	files       ClassFiles
 	admission   Admission
@@ -77,6 +76,7 @@
 	chooser     Chooser
 	retries     Retries
 	once        Once
+	kv          toucankv.Store // nil without an address
 	id          string
 	incarnation int64
 	addresses   Addresses
@@ -88,7 +88,9 @@
 	metrics  *nodeMetrics
 	admin    *http.ServeMux
 	control  *rpc.Server
-	clients  *controlClients
+	clients  *controlClients // to the control listeners of other nodes
+
+	reportPlane func(*status) // adds membership and configuration, if the node has its own
 
 	listeners  []net.Listener // caller, peer, control, admin
 	servers    []*http.Server // caller, peer, admin
@@ -119,13 +121,14 @@
 	if n.clock == nil {
 		n.clock = toucanclock.System{}
 	}
-	if n.kv == nil {
+	if n.kv == nil && n.settings.KVAddress.IsValid() {
 		n.kv = toucankv.NewClient(n.settings.KVAddress.String())
 	}
 	n.ctx, n.end = context.WithCancel(context.Background())
 	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
 	n.clients = &controlClients{clock: n.clock}
 	n.metrics = newNodeMetrics(n)
+	n.kv = countedStore{n.kv, n.metrics}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -163,7 +166,11 @@
 		n.retries = newBoundedRetries(n.clock)
 	}
 	if n.once == nil {
-		n.once = &memoryOnce{}
+		once, err := newOnce(n)
+		if err != nil {
+			return err
+		}
+		n.once = once
 	}
 	return nil
 }
@@ -181,15 +188,25 @@
 			ID: n.id, Incarnation: n.incarnation, PeerAddress: n.addresses.Peer,
 			DataCentre: n.settings.DataCentre, State: toucanbalance.Alive,
 		},
-		membersOf: config.follow, revisionOf: config.Observe, forget: config.forget,
+		membersOf: config.follow, revisionOf: config.Observe,
 		background: &n.background, ctx: n.ctx,
 		views: map[string]*serviceView{}, answers: map[uint64]chan toucanmember.Message{},
 	}
-	config.installed = members.setRevision
+	config.installed = func(service string, revision uint64) {
+		members.setRevision(service, revision)
+		n.metrics.installed(service, revision)
+	}
+	members.forget = func(service string) {
+		config.forget(service)
+		n.metrics.forgotten(service)
+	}
 	n.directory, n.files = members, config
 	n.loops = append(n.loops,
 		func() { every(n.ctx, toucanmember.TickPeriod, members.tick) },
 		func() { every(n.ctx, configTick, config.tick) })
+	n.reportPlane = func(s *status) {
+		s.Members, s.Followed = members.status(), config.status(members.known)
+	}
 	prepare := func(ctx context.Context, service string) { members.BackendServers(ctx, service) }
 	config.admin(prepare).Register(n.admin)
 	return errors.Join(
@@ -364,9 +381,9 @@
 	err = n.shutDown(ctx)
 	n.end()
 	n.closeControl()
-	n.clients.close()
 	n.peers.close()
 	n.backends.close()
+	n.clients.close()
 	n.background.Wait()
 	n.log.Info("stopped", slog.Bool("whole", err == nil))
 	return err
