toucannode: keep a late control answer out of the caller's value

When a control call ended with its context, net/rpc could still decode the answer into the value that the caller was reading: a data race, seen in TestDemoOutcomesAgreeWithRuns on a busy machine (probes, polls of the view). The answer is now decoded into a value of its own and copied when it came in time. TestLateAnswerLeavesTheValueAlone failed before with a data race and with an answer set after a timeout.

--- a/toucannode/control.go
+++ b/toucannode/control.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -35,7 +36,8 @@
 
 // call sends one message and waits for its answer until ctx ends. A connection
 // that failed or whose answer did not come in time is closed, because net/rpc
-// cannot take a message back.
+// cannot take a message back. The answer is set only when call returns nil: a
+// late one is decoded into a value of its own.
 func (c *controlClients) call(ctx context.Context, address, method string, args, answer any) (err error) {
 	defer func() {
 		if err != nil {
@@ -46,10 +48,13 @@
 	if err != nil {
 		return err
 	}
-	pending := client.Go(method, args, answer, make(chan *rpc.Call, 1))
+	decoded := reflect.New(reflect.TypeOf(answer).Elem())
+	pending := client.Go(method, args, decoded.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
-		err = pending.Error
+		if err = pending.Error; err == nil {
+			reflect.ValueOf(answer).Elem().Set(decoded.Elem())
+		}
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
