--- a/toucanconfig/cost_test.go
+++ b/toucanconfig/cost_test.go
@@ -49,3 +49,40 @@
 		})
 	}
 }
+
+// TestChangeRate prints what changes of one service cost its nodes, by change
+// rate. It guards against a spread whose cost grows faster than the rate.
+func TestChangeRate(t *testing.T) {
+	const members, entries, seconds = 5, 50, 60
+	var first float64
+	for _, perMinute := range []int{1, 6, 30, 120} {
+		s := newSim(1, members, entries, correct)
+		s.runUntil(10 * time.Second)
+		s.pushes, s.fetches, s.bytes = 0, 0, 0
+		var applyNext func(revision uint64)
+		applyNext = func(revision uint64) {
+			if revision >= uint64(perMinute) {
+				return
+			}
+			s.nodes[revision%members].apply(revision, fmt.Sprint(revision), nil)
+			s.after(seconds*time.Second/time.Duration(perMinute), func() { applyNext(revision + 1) })
+		}
+		begin := time.Now()
+		applyNext(0)
+		s.runUntil(10*time.Second + seconds*time.Second + 10*time.Second)
+		cost := time.Since(begin)
+		d, _ := s.nodes[0].store.Get(simService)
+		messages := float64(s.pushes+s.fetches) / float64(members+entries)
+		t.Logf("changes_per_minute=%d installed=%d messages_per_node=%.1f document_bytes_per_node=%d processor_time_per_node=%v",
+			perMinute, d.Revision(), messages, s.bytes/(members+entries), cost/(members+entries))
+		if d.Revision() != uint64(perMinute) {
+			t.Errorf("%d of %d changes in force", d.Revision(), perMinute)
+		}
+		if first == 0 {
+			first = messages
+		}
+		if messages > 1.5*first*float64(perMinute) {
+			t.Errorf("%.1f messages a node for %d changes, %.1f for one", messages, perMinute, first)
+		}
+	}
+}
