toucannode: count no calls of a key-value service that is absent

A node without an address of the KV has none, which the wrapper that counts its calls hid: writing the seal at a stop then panicked (TestKeysAtALeavingNode).

--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -128,7 +128,9 @@
 	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
 	n.clients = &controlClients{clock: n.clock}
 	n.metrics = newNodeMetrics(n)
-	n.kv = countedStore{n.kv, n.metrics}
+	if n.kv != nil {
+		n.kv = countedStore{n.kv, n.metrics}
+	}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
