--- a/toucannode/control_test.go
+++ b/toucannode/control_test.go
@@ -75,3 +75,40 @@
 	clients.closeIdle()
 	is.Equal(len(clients.clients), 0)
 }
+
+// longReply answers with a value that takes milliseconds to decode.
+type longReply struct{}
+
+const longAnswer = 200_000
+
+// Long is the method of longReply.
+func (longReply) Long(_ int, answer *[]string) error {
+	*answer = make([]string, longAnswer)
+	return nil
+}
+
+// Guards against an answer that arrives after its call has timed out and is
+// decoded into a value that the caller already uses. The race detector reports
+// it.
+func TestLateAnswerLeavesTheValueAlone(t *testing.T) {
+	is := is.New(t)
+	server := rpc.NewServer()
+	is.NoErr(server.RegisterName("Late", longReply{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go server.Accept(l)
+	clients := &controlClients{clock: toucanclock.System{}}
+	defer clients.close()
+	for i := range 50 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*time.Millisecond)
+		var answer []string
+		if err := clients.call(ctx, l.Addr().String(), "Late.Long", i, &answer); err != nil {
+			is.Equal(len(answer), 0)
+		}
+		for j := range answer {
+			answer[j] = "used by the caller"
+		}
+		cancel()
+	}
+}
