--- a/toucanadmission/admission_test.go
+++ b/toucanadmission/admission_test.go
@@ -211,6 +211,21 @@
 	}
 }
 
+func BenchmarkTick(b *testing.B) {
+	clock := newTestClock()
+	c := NewController(clock, WithLimits(300, 300, 300))
+	for id := range uint64(400) {
+		c.Offer(Work{ID: id, Rank: urgentRank + toucanclass.Rank(id%6), Level: int(id % 128)})
+	}
+	for b.Loop() {
+		clock.Advance(10 * time.Millisecond)
+		for _, u := range c.shedder.ranks {
+			u.last = clock.Now() // a rank without calls would be dropped
+		}
+		c.Tick()
+	}
+}
+
 func BenchmarkCheckObserve(b *testing.B) {
 	g := NewGate(newTestClock(), rand.New(rand.NewPCG(1, 2)))
 	for b.Loop() {
