toucannode: count every attempt in the choice of servers, and only real ones

Cause: a call whose deadline passed between the choice and the attempt stayed counted as in flight for ever, so its server got fewer and fewer calls; keyed calls were not counted at all.

--- a/toucannode/balance.go
+++ b/toucannode/balance.go
@@ -82,7 +82,15 @@
 	return list
 }
 
-// Done ends an attempt that Choose began.
+// Start begins an attempt at a server that Choose did not pick.
+func (b *balancedChooser) Start(service, nodeID string) {
+	p := b.service(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.picker.Start(nodeID)
+}
+
+// Done ends an attempt that Choose or Start began.
 func (b *balancedChooser) Done(service, nodeID string, a Attempt) {
 	p := b.service(service)
 	p.mu.Lock()
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -205,15 +205,14 @@
 	var last *reply
 	mayHaveRun := false // in an earlier attempt
 	for {
+		if e.call.Remaining(n.clock.Now()) < minRemaining {
+			return e.last(last, toucancall.ReasonDeadline, "")
+		}
 		server, ok := e.choose(ctx, home, tried)
 		if !ok {
 			return e.last(last, toucancall.ReasonNoBackend, "no backend server of the service is known")
 		}
-		now := n.clock.Now()
-		if e.call.Remaining(now) < minRemaining {
-			return e.last(last, toucancall.ReasonDeadline, "")
-		}
-		last = e.attempt(ctx, server, now)
+		last = e.attempt(ctx, server)
 		e.lost = e.lost || last.own && last.refusal.Outcome != toucancall.NotRun
 		if mayHaveRun && home == "" && last.refusal != nil && last.refusal.Outcome == toucancall.NotRun {
 			// Only a home knows that the earlier attempt did not run either.
@@ -241,9 +240,15 @@
 	return rep
 }
 
+// choose picks the server of an attempt, which must follow, because the chooser
+// counts the attempt from here on.
 func (e *entry) choose(ctx context.Context, home string, tried []string) (BackendServer, bool) {
 	if home != "" {
-		return e.n.findServer(ctx, e.call.Service, home)
+		server, ok := e.n.findServer(ctx, e.call.Service, home)
+		if ok {
+			e.n.chooser.Start(e.call.Service, home)
+		}
+		return server, ok
 	}
 	return e.n.chooser.Choose(e.call.Service, e.n.directory.BackendServers(ctx, e.call.Service), tried)
 }
@@ -268,8 +273,8 @@
 }
 
 // attempt makes one attempt and tells those who learn from it.
-func (e *entry) attempt(ctx context.Context, server BackendServer, now time.Time) *reply {
-	n, lent := e.n, e.allowance.Lend()
+func (e *entry) attempt(ctx context.Context, server BackendServer) *reply {
+	n, now, lent := e.n, e.n.clock.Now(), e.allowance.Lend()
 	call := e.call.WithRetries(lent)
 	var rep *reply
 	if server.NodeID == n.id {
@@ -293,9 +298,6 @@
 		e.markServer(server, rep)
 	}
 	done := func() {
-		if e.keyed() {
-			return // the key named the server, Choose did not
-		}
 		a.Latency = n.clock.Now().Sub(now)
 		n.chooser.Done(call.Service, server.NodeID, a)
 	}
--- a/toucannode/policy.go
+++ b/toucannode/policy.go
@@ -112,7 +112,9 @@
 	// Choose returns false when no server is left. Servers in tried failed
 	// earlier attempts of the same call.
 	Choose(service string, servers []BackendServer, tried []string) (BackendServer, bool)
-	// Done ends an attempt that Choose began.
+	// Start begins an attempt at a server that the key of the call named.
+	Start(service, nodeID string)
+	// Done ends an attempt that Choose or Start began.
 	Done(service, nodeID string, a Attempt)
 }
 
--- a/toucannode/stop_test.go
+++ b/toucannode/stop_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,8 +23,9 @@
 func TestLeavingMovesCallsToAnotherServer(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") })
-	first, second := f.node("ordini", handler), f.node("ordini", handler)
+	var leavingRuns atomic.Int64
+	first := f.node("ordini", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { leavingRuns.Add(1) }))
+	second := f.node("ordini", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }))
 	entry := f.node("", nil)
 	resp, err := http.Post("http://"+first.Addresses().Admin+"/drain", "", nil)
 	is.NoErr(err)
@@ -41,6 +43,7 @@
 	is.Equal(second.local.running(), 0)
 	resp, _ = f.do(first, "POST", "/orders", strings.NewReader("cup"))
 	is.Equal(outcome(resp), "answered") // as an entry it still serves
+	is.Equal(leavingRuns.Load(), int64(0))
 	first.announce("ordini", first.local.address)
 	is.True(!first.local.leaving) // an announcement ends the drain
 }
