toucannode: use toucanbalance.Server for backend servers; tell a repeat the truth

Cause: BackendServer repeated toucanbalance.Server field by field and was copied back and forth on every change of a view. A repeat of a request whose first attempt was still running, or that had used up its allowance, was called not_run although the first attempt may have run. Change: one type; such a repeat gets unknown with reason not_forwarded. TestOverlappingRepeatIsNotCalledNotRun guards it; the version before answered not_run overload by its code.

--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucannode"
 )
 
@@ -173,7 +174,7 @@
 		Known      bool   `json:"class_file_known"`
 		Revision   uint64 `json:"revision"`
 		ChosenFrom []struct {
-			State toucannode.ServerState `json:"state"`
+			State toucanbalance.State `json:"state"`
 		} `json:"chosen_from"`
 	} `json:"followed"`
 }
@@ -203,7 +204,7 @@
 		for _, f := range readStatus(ts, args[0]).Followed {
 			alive := 0
 			for _, server := range f.ChosenFrom {
-				if server.State == toucannode.ServerAlive {
+				if server.State == toucanbalance.Alive {
 					alive++
 				}
 			}
--- a/toucannode/admin.go
+++ b/toucannode/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 )
 
@@ -46,8 +47,8 @@
 }
 
 type memberStatus struct {
-	ID    string      `json:"id"`
-	State ServerState `json:"state"`
+	ID    string              `json:"id"`
+	State toucanbalance.State `json:"state"`
 }
 
 // followedStatus is what a node knows of a service. Calls are not served before
@@ -109,9 +110,9 @@
 	l.service, l.address, l.leaving, l.down = service, address, false, false
 	l.mu.Unlock()
 	if earlier != "" && earlier != service {
-		n.directory.Leave(earlier, n.self(ServerLeaving))
+		n.directory.Leave(earlier, n.self(toucanbalance.Leaving))
 	}
-	n.directory.Announce(service, n.self(ServerAlive))
+	n.directory.Announce(service, n.self(toucanbalance.Alive))
 	if changed {
 		n.log.Info("backend_announced", slog.String("service", service), slog.String("address", address))
 	}
@@ -133,7 +134,7 @@
 		return
 	}
 	if service != "" {
-		n.directory.Leave(service, n.self(ServerLeaving))
+		n.directory.Leave(service, n.self(toucanbalance.Leaving))
 	}
 	n.log.Info("leaving", slog.String("service", service))
 }
@@ -169,7 +170,7 @@
 	service := l.service
 	l.mu.Unlock()
 	if first {
-		n.directory.Leave(service, n.self(ServerLeaving))
+		n.directory.Leave(service, n.self(toucanbalance.Leaving))
 		n.log.Warn("backend_down", slog.String("service", service), slog.String("address", address))
 	}
 }
--- a/toucannode/balance.go
+++ b/toucannode/balance.go
@@ -23,7 +23,7 @@
 type servicePicker struct {
 	mu     sync.Mutex
 	picker *toucanbalance.Picker
-	view   []BackendServer
+	view   []toucanbalance.Server
 }
 
 func (b *balancedChooser) service(name string) *servicePicker {
@@ -42,46 +42,31 @@
 
 // Choose picks a backend server. A service without any is not remembered, so
 // made-up service names take no memory.
-func (b *balancedChooser) Choose(service string, servers []BackendServer, tried []string) (BackendServer, bool) {
+func (b *balancedChooser) Choose(service string, servers []toucanbalance.Server, tried []string) (toucanbalance.Server, bool) {
 	if len(servers) == 0 {
-		return BackendServer{}, false
+		return toucanbalance.Server{}, false
 	}
 	p := b.service(service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !sameSlice(p.view, servers) {
 		p.view = servers
-		p.picker.Update(balanceServers(servers))
+		p.picker.Update(servers)
 		b.resized(service, min(len(servers), toucanbalance.DefaultSubset))
 	}
 	chosen, ok := p.picker.Pick(tried...)
-	if !ok {
-		return BackendServer{}, false
+	if ok {
+		p.picker.Start(chosen.ID)
 	}
-	p.picker.Start(chosen.ID)
-	return BackendServer{
-		NodeID: chosen.ID, Incarnation: chosen.Incarnation, PeerAddress: chosen.PeerAddress,
-		DataCentre: chosen.DataCentre, State: ServerState(chosen.State),
-	}, true
+	return chosen, ok
 }
 
 // sameSlice reports whether two views are one slice. A directory returns the
 // same slice until something changes.
-func sameSlice(a, b []BackendServer) bool {
+func sameSlice(a, b []toucanbalance.Server) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-func balanceServers(servers []BackendServer) []toucanbalance.Server {
-	list := make([]toucanbalance.Server, len(servers))
-	for i, s := range servers {
-		list[i] = toucanbalance.Server{
-			ID: s.NodeID, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress,
-			DataCentre: s.DataCentre, State: toucanbalance.State(s.State),
-		}
-	}
-	return list
-}
-
 // Start begins an attempt at a server that Choose did not pick.
 func (b *balancedChooser) Start(service, nodeID string) {
 	p := b.service(service)
--- a/toucannode/balance_test.go
+++ b/toucannode/balance_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 )
 
@@ -16,7 +17,7 @@
 	begun, open atomic.Int64
 }
 
-func (c *countingChooser) Choose(service string, servers []BackendServer, tried []string) (BackendServer, bool) {
+func (c *countingChooser) Choose(service string, servers []toucanbalance.Server, tried []string) (toucanbalance.Server, bool) {
 	s, ok := c.Chooser.Choose(service, servers, tried)
 	if ok {
 		c.begun.Add(1)
--- a/toucannode/defaults.go
+++ b/toucannode/defaults.go
@@ -5,17 +5,18 @@
 	"slices"
 	"sync"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucanclass"
 )
 
 // MemoryDirectory is a directory inside one process.
 type MemoryDirectory struct {
 	mu      sync.RWMutex
-	servers map[string][]BackendServer
+	servers map[string][]toucanbalance.Server
 }
 
 // BackendServers returns the backend servers of a service.
-func (d *MemoryDirectory) BackendServers(_ context.Context, service string) []BackendServer {
+func (d *MemoryDirectory) BackendServers(_ context.Context, service string) []toucanbalance.Server {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.servers[service]
@@ -23,7 +24,7 @@
 
 // MarkLeaving changes the state of a backend server.
 func (d *MemoryDirectory) MarkLeaving(service, nodeID string) {
-	d.update(service, nodeID, func(s *BackendServer) { s.State = ServerLeaving })
+	d.update(service, nodeID, func(s *toucanbalance.Server) { s.State = toucanbalance.Leaving })
 }
 
 // MarkUnreachable does nothing: inside one process a node that was unreachable
@@ -31,28 +32,28 @@
 func (*MemoryDirectory) MarkUnreachable(string, string) {}
 
 // Announce adds or replaces a backend server.
-func (d *MemoryDirectory) Announce(service string, self BackendServer) {
-	d.update(service, self.NodeID, func(s *BackendServer) { *s = self })
+func (d *MemoryDirectory) Announce(service string, self toucanbalance.Server) {
+	d.update(service, self.ID, func(s *toucanbalance.Server) { *s = self })
 }
 
 // Leave changes the state of a backend server.
-func (d *MemoryDirectory) Leave(service string, self BackendServer) {
-	d.MarkLeaving(service, self.NodeID)
+func (d *MemoryDirectory) Leave(service string, self toucanbalance.Server) {
+	d.MarkLeaving(service, self.ID)
 }
 
 // update replaces the slice, because readers hold the earlier one.
-func (d *MemoryDirectory) update(service, nodeID string, change func(*BackendServer)) {
+func (d *MemoryDirectory) update(service, nodeID string, change func(*toucanbalance.Server)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := slices.Clone(d.servers[service])
-	i := slices.IndexFunc(list, func(s BackendServer) bool { return s.NodeID == nodeID })
+	i := slices.IndexFunc(list, func(s toucanbalance.Server) bool { return s.ID == nodeID })
 	if i < 0 {
 		i = len(list)
-		list = append(list, BackendServer{NodeID: nodeID})
+		list = append(list, toucanbalance.Server{ID: nodeID})
 	}
 	change(&list[i])
 	if d.servers == nil {
-		d.servers = map[string][]BackendServer{}
+		d.servers = map[string][]toucanbalance.Server{}
 	}
 	d.servers[service] = list
 }
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"toucanhaven/toucanadmission"
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
 )
@@ -86,7 +87,9 @@
 		e.call = call.WithClass(e.class)
 		var ok bool
 		if e.allowance, ok = e.n.retries.Root(e.call); !ok {
-			return ctx, end, e.refuse(ctx, notRun(toucancall.ReasonOverload, "the retry allowance of this request is used up"))
+			// The earlier attempt may have run, or may run now.
+			return ctx, end, refused(toucancall.Unknown, toucancall.ReasonNotForwarded,
+				"a repeat of a request that is under way or has used up its retry allowance")
 		}
 		return ctx, end, nil
 	}
@@ -227,7 +230,7 @@
 			return last
 		}
 		n.metrics.count("toucan_retries_total", "reason", string(last.refusal.Reason))
-		tried = append(tried, server.NodeID)
+		tried = append(tried, server.ID)
 	}
 }
 
@@ -242,7 +245,7 @@
 
 // choose picks the server of an attempt, which must follow, because the chooser
 // counts the attempt from here on.
-func (e *entry) choose(ctx context.Context, home string, tried []string) (BackendServer, bool) {
+func (e *entry) choose(ctx context.Context, home string, tried []string) (toucanbalance.Server, bool) {
 	if home != "" {
 		server, ok := e.n.findServer(ctx, e.call.Service, home)
 		if ok {
@@ -273,11 +276,11 @@
 }
 
 // attempt makes one attempt and tells those who learn from it.
-func (e *entry) attempt(ctx context.Context, server BackendServer) *reply {
+func (e *entry) attempt(ctx context.Context, server toucanbalance.Server) *reply {
 	n, now, lent := e.n, e.n.clock.Now(), e.allowance.Lend()
 	call := e.call.WithRetries(lent)
 	var rep *reply
-	if server.NodeID == n.id {
+	if server.ID == n.id {
 		rep = n.run(ctx, call, e.in)
 		rep.own = false // the run has settled its key
 	} else {
@@ -287,7 +290,7 @@
 	e.threshold = e.threshold.Min(rep.hop.threshold)
 	if rep.hop.reported {
 		n.gate.Observe(call, e.parent != nil, rep.hop.threshold)
-		n.files.Observe(call.Service, server.NodeID, rep.hop.revision)
+		n.files.Observe(call.Service, server.ID, rep.hop.revision)
 	}
 	a := Attempt{
 		Target: e.class.Latency, Outcome: toucancall.Answered, Status: rep.status,
@@ -299,7 +302,7 @@
 	}
 	done := func() {
 		a.Latency = n.clock.Now().Sub(now)
-		n.chooser.Done(call.Service, server.NodeID, a)
+		n.chooser.Done(call.Service, server.ID, a)
 	}
 	if rep.rest == nil {
 		done()
@@ -317,15 +320,15 @@
 }
 
 // markServer tells the directory what an attempt found out about a server.
-func (e *entry) markServer(server BackendServer, rep *reply) {
+func (e *entry) markServer(server toucanbalance.Server, rep *reply) {
 	n := e.n
 	switch rep.refusal.Reason {
 	case toucancall.ReasonLeaving:
-		n.directory.MarkLeaving(e.call.Service, server.NodeID)
+		n.directory.MarkLeaving(e.call.Service, server.ID)
 		n.peers.closeAddress(server.PeerAddress)
 	case toucancall.ReasonConnect:
 		if !rep.hop.reported {
-			n.directory.MarkUnreachable(e.call.Service, server.NodeID)
+			n.directory.MarkUnreachable(e.call.Service, server.ID)
 		}
 	}
 }
--- a/toucannode/member.go
+++ b/toucannode/member.go
@@ -55,7 +55,7 @@
 	mu       sync.Mutex
 	service  string // of the local backend server
 	group    *toucanmember.Group
-	local    []BackendServer // the group's view, replaced on change
+	local    []toucanbalance.Server // the group's view, replaced on change
 	views    map[string]*serviceView
 	lastCall uint64
 	answers  map[uint64]chan toucanmember.Message
@@ -64,7 +64,7 @@
 // serviceView is the view of one called service.
 type serviceView struct {
 	entry   *toucanmember.Entry
-	servers []BackendServer // replaced on change
+	servers []toucanbalance.Server // replaced on change
 	used    time.Time
 	ready   chan struct{} // closed when the first servers are known
 }
@@ -76,7 +76,7 @@
 
 // BackendServers returns the backend servers of a service. The first calls to a
 // service wait for its view.
-func (m *membership) BackendServers(ctx context.Context, service string) []BackendServer {
+func (m *membership) BackendServers(ctx context.Context, service string) []toucanbalance.Server {
 	m.mu.Lock()
 	if m.group != nil && service == m.service {
 		defer m.mu.Unlock()
@@ -149,7 +149,7 @@
 }
 
 // Announce says that the backend server beside this node takes calls.
-func (m *membership) Announce(service string, self BackendServer) {
+func (m *membership) Announce(service string, self toucanbalance.Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.group == nil || m.service != service {
@@ -161,7 +161,7 @@
 }
 
 // Leave says that the backend server beside this node takes no new calls.
-func (m *membership) Leave(service string, _ BackendServer) {
+func (m *membership) Leave(service string, _ toucanbalance.Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.group != nil && m.service == service {
@@ -203,10 +203,10 @@
 	return []memberStatus{}
 }
 
-func memberStatuses(servers []BackendServer) []memberStatus {
+func memberStatuses(servers []toucanbalance.Server) []memberStatus {
 	list := make([]memberStatus, len(servers))
 	for i, s := range servers {
-		list[i] = memberStatus{ID: s.NodeID, State: s.State}
+		list[i] = memberStatus{ID: s.ID, State: s.State}
 	}
 	return list
 }
@@ -288,10 +288,10 @@
 		return
 	}
 	members := m.group.View().Members
-	servers := make([]BackendServer, len(members))
+	servers := make([]toucanbalance.Server, len(members))
 	ids := make([]string, len(members))
 	for i, member := range members {
-		servers[i], ids[i] = backendServer(member.Server), member.ID
+		servers[i], ids[i] = member.Server, member.ID
 	}
 	m.local = servers
 	service := m.service
@@ -303,28 +303,20 @@
 	if view == nil {
 		return
 	}
-	servers := make([]BackendServer, len(list))
 	ids := make([]string, len(list))
 	for i, s := range list {
-		servers[i], ids[i] = backendServer(s), s.ID
+		ids[i] = s.ID
 	}
-	if len(view.servers) == 0 && len(servers) > 0 {
+	if len(view.servers) == 0 && len(list) > 0 {
 		close(view.ready)
 	}
-	if len(view.servers) > 0 && len(servers) == 0 {
+	if len(view.servers) > 0 && len(list) == 0 {
 		view.ready = make(chan struct{})
 	}
-	view.servers = servers
+	view.servers = list
 	m.background.Go(func() { m.membersOf(service, ids) })
 }
 
-func backendServer(s toucanbalance.Server) BackendServer {
-	return BackendServer{
-		NodeID: s.ID, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress,
-		DataCentre: s.DataCentre, State: ServerState(s.State),
-	}
-}
-
 // send carries out one message and feeds its answer back.
 func (m *membership) send(service string, s stepper, e toucanmember.Send) {
 	ctx, cancel := context.WithTimeout(m.ctx, e.Timeout)
@@ -409,11 +401,11 @@
 func (m *membership) knownPeers() []string {
 	peers := map[string]bool{}
 	for _, s := range m.local {
-		peers[s.NodeID] = true
+		peers[s.ID] = true
 	}
 	for _, view := range m.views {
 		for _, s := range view.servers {
-			peers[s.NodeID] = true
+			peers[s.ID] = true
 		}
 	}
 	delete(peers, m.self.ID)
@@ -502,7 +494,7 @@
 	defer m.mu.Unlock()
 	if m.group != nil && m.service == request.Service {
 		for _, server := range m.local {
-			answer.Contacts = append(answer.Contacts, server.NodeID)
+			answer.Contacts = append(answer.Contacts, server.ID)
 		}
 	} else if view := m.views[request.Service]; view != nil {
 		answer.Contacts = view.entry.Members()
--- a/toucannode/metrics.go
+++ b/toucannode/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 )
 
@@ -90,7 +91,7 @@
 	set.NewGauge("toucan_running", func() float64 { return float64(n.admission.Status().Running) })
 	set.NewGauge("toucan_queued", func() float64 { return float64(n.admission.Status().Queued) })
 	set.NewGauge("toucan_load", func() float64 { return float64(n.admission.Load()) })
-	for _, state := range []ServerState{ServerAlive, ServerSuspect, ServerLeaving} {
+	for _, state := range []toucanbalance.State{toucanbalance.Alive, toucanbalance.Suspect, toucanbalance.Leaving} {
 		set.NewGauge(fmt.Sprintf("toucan_members{state=%q}", state), func() float64 { return float64(n.membersIn(state)) })
 	}
 	return &nodeMetrics{
@@ -105,7 +106,7 @@
 }
 
 // membersIn counts the members of the local backend server's service in a state.
-func (n *Node) membersIn(state ServerState) (count int) {
+func (n *Node) membersIn(state toucanbalance.State) (count int) {
 	m, ok := n.directory.(*membership)
 	if !ok {
 		return 0
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -267,8 +267,8 @@
 // register before Start.
 func (n *Node) Control() *rpc.Server { return n.control }
 
-func (n *Node) self(state ServerState) BackendServer {
-	return BackendServer{NodeID: n.id, PeerAddress: n.addresses.Peer, DataCentre: n.settings.DataCentre, State: state}
+func (n *Node) self(state toucanbalance.State) toucanbalance.Server {
+	return toucanbalance.Server{ID: n.id, PeerAddress: n.addresses.Peer, DataCentre: n.settings.DataCentre, State: state}
 }
 
 // Start begins to serve.
--- a/toucannode/once_entry.go
+++ b/toucannode/once_entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanhaven/toucanadmission"
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanonce"
 )
@@ -39,13 +40,13 @@
 }
 
 // findServer finds a backend server of a service in the directory.
-func (n *Node) findServer(ctx context.Context, service, nodeID string) (BackendServer, bool) {
+func (n *Node) findServer(ctx context.Context, service, nodeID string) (toucanbalance.Server, bool) {
 	for _, s := range n.directory.BackendServers(ctx, service) {
-		if s.NodeID == nodeID {
+		if s.ID == nodeID {
 			return s, true
 		}
 	}
-	return BackendServer{}, false
+	return toucanbalance.Server{}, false
 }
 
 func (e *entry) keyed() bool { return e.once && e.call.IdempotencyKey != "" }
--- a/toucannode/once_rpc.go
+++ b/toucannode/once_rpc.go
@@ -7,6 +7,7 @@
 	"net/rpc"
 	"time"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanonce"
 )
@@ -75,13 +76,13 @@
 }
 
 // issueAt gets keys from the home beside one backend server.
-func (o *keyedOnce) issueAt(ctx context.Context, server BackendServer, service string, count int) ([]string, error) {
-	if server.NodeID == o.n.id {
+func (o *keyedOnce) issueAt(ctx context.Context, server toucanbalance.Server, service string, count int) ([]string, error) {
+	if server.ID == o.n.id {
 		keys, err := o.issueHere(service, count)
 		return keyTexts(keys), err
 	}
 	var answer issueAnswer
-	err := o.send(ctx, server.NodeID, "Once.Issue", issueMessage{Service: service, Count: count}, &answer)
+	err := o.send(ctx, server.ID, "Once.Issue", issueMessage{Service: service, Count: count}, &answer)
 	return answer.Keys, err
 }
 
@@ -121,7 +122,7 @@
 func (o *keyedOnce) Issue(ctx context.Context, service string, count int) ([]string, error) {
 	homes := 0
 	for _, s := range o.n.directory.BackendServers(ctx, service) {
-		if s.State == ServerAlive {
+		if s.State == toucanbalance.Alive {
 			homes++
 		}
 	}
@@ -164,8 +165,8 @@
 		end.Outcome, end.Reason = toucancall.Unknown, toucancall.ReasonConnectionLost
 	}
 	end.Latency = n.clock.Now().Sub(start)
-	n.chooser.Done(service, server.NodeID, end)
-	return keys, server.NodeID, err
+	n.chooser.Done(service, server.ID, end)
+	return keys, server.ID, err
 }
 
 // mix takes one key of each batch in turn.
--- a/toucannode/outcome_test.go
+++ b/toucannode/outcome_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 )
 
@@ -186,12 +187,12 @@
 		is.Equal(status, http.StatusServiceUnavailable)
 		is.Equal(len(f.log.lines("request_run")), 0)
 		is.Equal(len(f.log.lines("backend_down")), 1)
-		is.Equal(f.directory.BackendServers(t.Context(), "ordini")[0].State, ServerLeaving)
+		is.Equal(f.directory.BackendServers(t.Context(), "ordini")[0].State, toucanbalance.Leaving)
 	})
 	t.Run("peer", func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t)
-		f.directory.Announce("ordini", BackendServer{NodeID: "gone", PeerAddress: closedAddress(t), State: ServerAlive})
+		f.directory.Announce("ordini", toucanbalance.Server{ID: "gone", PeerAddress: closedAddress(t), State: toucanbalance.Alive})
 		got, _ := f.try(f.node("", nil), "POST", "/orders", "1000")
 		is.Equal(got, "not_run connect")
 	})
--- a/toucannode/policy.go
+++ b/toucannode/policy.go
@@ -6,46 +6,26 @@
 	"time"
 
 	"toucanhaven/toucanadmission"
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
 	"toucanhaven/toucanonce"
 )
 
-// ServerState says whether a backend server may be chosen. The set is closed.
-type ServerState string
-
-const (
-	// ServerAlive means that the backend server takes calls.
-	ServerAlive ServerState = "alive"
-	// ServerSuspect means that its node missed probes.
-	ServerSuspect ServerState = "suspect"
-	// ServerLeaving means that it takes no new calls.
-	ServerLeaving ServerState = "leaving"
-)
-
-// BackendServer is a backend server as the entries of its service know it.
-type BackendServer struct {
-	NodeID      string // control address of the node beside it
-	Incarnation int64  // start time of that node in nanoseconds
-	PeerAddress string
-	DataCentre  string
-	State       ServerState
-}
-
 // Directory knows the backend servers of services and spreads the word about
 // the one beside this node.
 type Directory interface {
 	// BackendServers returns those known now, the same slice until something
 	// changes. The caller does not change the slice.
-	BackendServers(ctx context.Context, service string) []BackendServer
+	BackendServers(ctx context.Context, service string) []toucanbalance.Server
 	// MarkLeaving notes that a backend server refused a call because it is leaving.
 	MarkLeaving(service, nodeID string)
 	// MarkUnreachable notes that no connection to the node was made.
 	MarkUnreachable(service, nodeID string)
 	// Announce says that the backend server beside this node takes calls.
-	Announce(service string, self BackendServer)
+	Announce(service string, self toucanbalance.Server)
 	// Leave says that it takes no new calls.
-	Leave(service string, self BackendServer)
+	Leave(service string, self toucanbalance.Server)
 }
 
 // ClassFiles gives the class file in force for a service.
@@ -111,7 +91,7 @@
 type Chooser interface {
 	// Choose returns false when no server is left. Servers in tried failed
 	// earlier attempts of the same call.
-	Choose(service string, servers []BackendServer, tried []string) (BackendServer, bool)
+	Choose(service string, servers []toucanbalance.Server, tried []string) (toucanbalance.Server, bool)
 	// Start begins an attempt at a server that the key of the call named.
 	Start(service, nodeID string)
 	// Done ends an attempt that Choose or Start began.
--- a/toucannode/retry_outcome_test.go
+++ b/toucannode/retry_outcome_test.go
@@ -31,3 +31,25 @@
 	is.Equal(outcome(resp), "unknown backend_refused")
 	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
 }
+
+// Guards against "not run" for a repeat of a request that is running.
+func TestOverlappingRepeatIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	entry := f.node("", nil)
+	running, release := make(chan struct{}), make(chan struct{})
+	f.node("ordini", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	}))
+	first := make(chan string)
+	go func() {
+		resp, _ := f.do(entry, "GET", "/orders", nil, toucancall.HeaderRequestID, "r1")
+		first <- outcome(resp)
+	}()
+	<-running
+	resp, _ := f.do(entry, "GET", "/orders", nil, toucancall.HeaderRequestID, "r1")
+	close(release)
+	is.Equal(outcome(resp), "unknown not_forwarded")
+	is.Equal(<-first, "answered")
+}
--- a/toucannode/stop_test.go
+++ b/toucannode/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"toucanhaven/toucanadmission"
+	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 )
 
@@ -34,7 +35,7 @@
 	resp.Body.Close()
 	is.True(s.Leaving)
 	is.Equal(s.ID, first.ID())
-	f.directory.Announce("ordini", first.self(ServerAlive)) // the word has not spread yet
+	f.directory.Announce("ordini", first.self(toucanbalance.Alive)) // the word has not spread yet
 	for range 20 {
 		resp, _ := f.do(entry, "POST", "/orders", strings.NewReader("cup"))
 		is.Equal(outcome(resp), "answered")
@@ -80,7 +81,7 @@
 	stopped := make(chan error)
 	go func() { stopped <- node.Stop(context.Background()) }()
 	await(t, func() bool {
-		return node.closing.Load() && f.directory.BackendServers(t.Context(), "ordini")[0].State == ServerLeaving
+		return node.closing.Load() && f.directory.BackendServers(t.Context(), "ordini")[0].State == toucanbalance.Leaving
 	})
 	resp, _ := f.do(entry, "POST", "/orders", strings.NewReader("cup"))
 	is.Equal(outcome(resp), "not_run no_backend")
@@ -127,7 +128,7 @@
 		w.Header().Set(toucancall.HeaderRetriesLeft, "99")
 	}))
 	defer peer.Close()
-	f.directory.Announce("magazzino", BackendServer{NodeID: "m", PeerAddress: peer.Listener.Addr().String(), State: ServerAlive})
+	f.directory.Announce("magazzino", toucanbalance.Server{ID: "m", PeerAddress: peer.Listener.Addr().String(), State: toucanbalance.Alive})
 	n := f.node("", nil)
 	call := toucancall.Call{
 		RequestID: "r1", Service: "ordini", Tenant: "shop7", Class: "place_order", Rank: 9, Level: 4,
@@ -192,7 +193,7 @@
 	is.Equal(get(plain, "POST", "/announce", `{"service":"","address":"127.0.0.1:1"}`), 400)
 	is.Equal(get(plain, "POST", "/announce", `not json`), 400)
 	is.Equal(get(plain, "POST", "/announce", `{"service":"ordini","address":"127.0.0.1:1"}`), 204)
-	is.Equal(f.directory.BackendServers(t.Context(), "ordini")[0].NodeID, plain.ID())
+	is.Equal(f.directory.BackendServers(t.Context(), "ordini")[0].ID, plain.ID())
 	is.Equal(get(plain, "GET", "/announce", ""), 405)
 }
 
@@ -213,7 +214,7 @@
 	ran, unused := keys[0], keys[1]
 	is.Equal(order(ran), "order 1")
 	node.drain()
-	f.directory.Announce("ordini", node.self(ServerAlive)) // the word has not spread yet
+	f.directory.Announce("ordini", node.self(toucanbalance.Alive)) // the word has not spread yet
 	is.Equal(order(ran), "order 1")
 	is.Equal(order(unused), "not_run leaving")
 	node.announce("ordini", node.local.address)
