cmd/toucanhaven: test retries over three hops and a replaced home with processes

Two first forms did not see that fault: with one backend server a service nothing is retried, and a stand-in that answers 502 ends the retries above it. The stand-in now loses its answer also when its child call failed.

--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -85,6 +85,8 @@
 			"race":          race,
 			"checkorder":    checkOrder,
 			"checkruns":     checkRuns,
+			"atmost":        atMost,
+			"awaitanswer":   awaitAnswer,
 			"exitstatus":    exitStatus,
 			"issuekeys":     issueKeys,
 			"agree":         agree,
@@ -357,6 +359,29 @@
 	ts.Logf("outcomes %v, runs %d, logged %d", total, len(ran), len(logged))
 }
 
+// awaitAnswer sends requests until one is answered: awaitanswer caller-flags...
+func awaitAnswer(ts *testscript.TestScript, _ bool, args []string) {
+	await(ts, awaitTimeout, "an answered request", func() bool {
+		return ts.Exec("toucanstub", append([]string{"caller"}, args...)...) == nil
+	})
+}
+
+// atMost checks that a text stands on at most a number of lines: atmost count
+// text file.
+func atMost(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	found := 0
+	for line := range strings.Lines(ts.ReadFile(args[2])) {
+		if strings.Contains(line, args[1]) {
+			found++
+		}
+	}
+	if found > limit {
+		ts.Fatalf("%q stands on %d lines of %s, want at most %d", args[1], found, args[2], limit)
+	}
+}
+
 // checkOrder checks that requests numbered by a caller were answered out of
 // order: checkorder caller-output.
 func checkOrder(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/toucanstub/backend.go
+++ b/cmd/toucanstub/backend.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if err := b.callChildren(r); err != nil {
+	if err := b.callChildren(r); err != nil && present != faultDrop {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
