--- a/toucanmember/failure_test.go
+++ b/toucanmember/failure_test.go
@@ -265,7 +265,9 @@
 	if *full {
 		checks = "5000"
 	}
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": checks, "rapid.nofailfile": "true"} {
+	fixed := map[string]string{"rapid.seed": "20261204", "rapid.checks": checks, "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) }) // the command line goes first
+	for name, value := range fixed {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
