--- a/cmd/toucanhaven/script_test.go
+++ b/cmd/toucanhaven/script_test.go
@@ -86,6 +86,8 @@
 			"checkorder":    checkOrder,
 			"checkruns":     checkRuns,
 			"atmost":        atMost,
+			"?":             mayFail,
+			"refusedlast":   refusedLast,
 			"awaitanswer":   awaitAnswer,
 			"exitstatus":    exitStatus,
 			"issuekeys":     issueKeys,
@@ -366,6 +368,41 @@
 	})
 }
 
+// mayFail runs a program whatever its exit status: ? program args...
+func mayFail(ts *testscript.TestScript, _ bool, args []string) {
+	if err := ts.Exec(args[0], args[1:]...); err != nil {
+		ts.Logf("%v", err)
+	}
+}
+
+// maxUrgentRefused is the share of urgent requests that may be refused while less
+// urgent ones remain to be shed: the target is 99% served.
+const maxUrgentRefused = 0.01
+
+// refusedLast checks that urgent requests were not refused while less urgent ones
+// were: refusedlast urgent-output other-output.
+func refusedLast(ts *testscript.TestScript, _ bool, args []string) {
+	urgent, other := refusedShare(ts, args[0]), refusedShare(ts, args[1])
+	ts.Logf("refused shares %.3f and %.3f", urgent, other)
+	if urgent > maxUrgentRefused || other == 0 {
+		ts.Fatalf("%s: %.3f refused, want at most %.2f; %s: %.3f refused, want some", args[0], urgent, maxUrgentRefused, args[1], other)
+	}
+}
+
+func refusedShare(ts *testscript.TestScript, file string) float64 {
+	refused, sent := 0, 0
+	for line := range strings.Lines(ts.ReadFile(file)) {
+		outcome := field(line, "outcome")
+		if outcome == "not_run" {
+			refused++
+		}
+		if outcome != "" {
+			sent++
+		}
+	}
+	return float64(refused) / float64(max(sent, 1))
+}
+
 // atMost checks that a text stands on at most a number of lines: atmost count
 // text file.
 func atMost(ts *testscript.TestScript, _ bool, args []string) {
