toucannode: lend to child calls by toucanretry.Allowance; share the waits

Cause: the parent table computed loans by itself beside toucanretry.Allowance, two functions waited for a channel with a limit and two for a delay. The wait for a service's view also read its channel without the mutex that replaces it. Change: one allowance, which also bounds what a child call may return and makes the flag for a reported run unnecessary; awaitReady and pause serve both callers, and the channel is read under the mutex. Ruled out for now: one piece for the waits of toucanstub and toucancaller, which are separate programs of a few lines.

--- a/toucannode/config.go
+++ b/toucannode/config.go
@@ -69,7 +69,7 @@
 	s := c.service(service)
 	if !s.isReady {
 		c.mu.Unlock()
-		if !awaitReady(ctx, s.ready) {
+		if !awaitReady(ctx, s.ready, configWait) {
 			return toucanclass.File{}, 0, errNoConfiguration
 		}
 		c.mu.Lock()
@@ -79,8 +79,9 @@
 	return d.File(), d.Revision(), nil
 }
 
-func awaitReady(ctx context.Context, ready <-chan struct{}) bool {
-	timer := time.NewTimer(configWait)
+// awaitReady waits for ready to be closed and reports whether it was within limit.
+func awaitReady(ctx context.Context, ready <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-ready:
--- a/toucannode/defaults.go
+++ b/toucannode/defaults.go
@@ -83,6 +83,3 @@
 
 // Observe does nothing: there is no later revision to fetch.
 func (*MemoryClassFiles) Observe(string, string, uint64) {}
-
-// half is the part of an allowance that is lent, rounded up.
-func half(held int) int { return (held + 1) / 2 }
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -118,7 +118,7 @@
 		finish := func() {
 			stop()
 			cancel()
-			parent.endChild(e.n.clock.Now(), e.allowance.Left(), e.threshold)
+			parent.endChild(e.n.clock.Now(), lent, e.allowance.Left(), e.threshold)
 		}
 		if rep.rest == nil {
 			finish()
--- a/toucannode/member.go
+++ b/toucannode/member.go
@@ -88,9 +88,9 @@
 		return nil
 	}
 	view.used = m.clock.Now()
-	servers := view.servers
+	servers, ready := view.servers, view.ready
 	m.mu.Unlock()
-	if len(servers) > 0 || !m.await(ctx, view) {
+	if len(servers) > 0 || !awaitReady(ctx, ready, firstViewWait) {
 		return servers
 	}
 	m.mu.Lock()
@@ -98,19 +98,6 @@
 	return view.servers
 }
 
-// await waits for the first servers of a view.
-func (m *membership) await(ctx context.Context, view *serviceView) bool {
-	timer := time.NewTimer(firstViewWait)
-	defer timer.Stop()
-	select {
-	case <-view.ready:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // follow returns the view of a called service, or nil when too many services are
 // followed already. The mutex is held.
 func (m *membership) follow(service string) *serviceView {
--- a/toucannode/parents.go
+++ b/toucannode/parents.go
@@ -8,6 +8,7 @@
 
 	"toucanhaven/toucanadmission"
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanretry"
 )
 
 // newToken returns an unguessable word of 26 characters.
@@ -47,8 +48,7 @@
 	call  toucancall.Call
 
 	mu         sync.Mutex
-	held       int // retry allowance not lent at the moment
-	returned   bool
+	allowance  toucanretry.Allowance
 	threshold  toucanadmission.Threshold // most restrictive of the child calls
 	children   int
 	busySince  time.Time // since when at least one child call runs
@@ -59,7 +59,7 @@
 }
 
 func newParent(c toucancall.Call) *parent {
-	return &parent{token: newToken(), call: c, held: c.Retries, threshold: toucanadmission.Open}
+	return &parent{token: newToken(), call: c, allowance: toucanretry.NewAllowance(c.Retries), threshold: toucanadmission.Open}
 }
 
 // startChild lends a part of the allowance to a child call.
@@ -76,30 +76,26 @@
 		p.busySince = now
 	}
 	p.children++
-	lent = half(p.held)
-	p.held -= lent
-	return p.ctx, lent
+	return p.ctx, p.allowance.Lend()
 }
 
 // endChild takes back the unused part of a child call's allowance.
-func (p *parent) endChild(now time.Time, left int, t toucanadmission.Threshold) {
+func (p *parent) endChild(now time.Time, lent, left int, t toucanadmission.Threshold) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.children--; p.children == 0 {
 		p.childTime += now.Sub(p.busySince)
 	}
-	if !p.returned {
-		p.held += left
-	}
+	p.allowance.Return(lent, left)
 	p.threshold = p.threshold.Min(t)
 }
 
 // report returns what the answer of the run carries. The allowance goes back
-// with it, so later child calls get none.
+// with it, so later child calls get none and loans still out are not returned.
 func (p *parent) report() (left int, t toucanadmission.Threshold) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	left, p.held, p.returned = p.held, 0, true
+	left, p.allowance = p.allowance.Held(), toucanretry.Allowance{}
 	return left, p.threshold
 }
 
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -360,18 +360,8 @@
 
 // retryDelay waits before another attempt and reports whether time is left.
 func retryDelay(ctx context.Context, delay time.Duration, deadline time.Time) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	if time.Until(deadline) <= delay {
-		return false
-	}
-	t := time.NewTimer(delay)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
+	if delay > 0 && time.Until(deadline) <= delay {
 		return false
 	}
+	return pause(ctx, delay)
 }
