--- a/cmd/toucanhaven/main.go
+++ b/cmd/toucanhaven/main.go
@@ -30,7 +30,7 @@
 // run carries out one command line.
 func run(args []string) int {
 	commands := []command{
-		nodeCommand(),
+		nodeCommand(), meshCommand(),
 		checkCommand(), applyCommand(), showCommand(), historyCommand(), statusCommand(), drainCommand(),
 	}
 	parser := flaggy.NewParser("toucanhaven")
--- /dev/null
+++ b/cmd/toucanhaven/mesh.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"toucanhaven/platform"
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanlog"
+	"toucanhaven/toucanmesh"
+)
+
+// meshMemoryShare is the part of its memory limit at which the collector of a
+// mesh node works harder.
+const meshMemoryShare = 0.6
+
+// meshCommand runs the node of a platform deployment until a signal stops it.
+func meshCommand() command {
+	var settingsFile string
+	var check bool
+	flags := newCommand("mesh", "run the node beside a backend server of a platform deployment", "mesh --settings mesh.toml")
+	flags.String(&settingsFile, "s", "settings", "file with the settings of the node (TOML)")
+	flags.Bool(&check, "c", "check", "check the settings and exit")
+	return command{flags: flags, run: func() int {
+		if settingsFile == "" {
+			fmt.Fprintln(os.Stderr, "toucanhaven mesh: --settings FILE is required")
+			return exitUsage
+		}
+		settings, err := toucanmesh.LoadSettings(settingsFile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "toucanhaven mesh:", err)
+			return exitUsage
+		}
+		if check {
+			return exitOK
+		}
+		if err := runMesh(settingsFile, settings); err != nil {
+			fmt.Fprintln(os.Stderr, "toucanhaven mesh:", err)
+			return exitFailure
+		}
+		return exitOK
+	}}
+}
+
+func runMesh(file string, s toucanmesh.Settings) error {
+	debug.SetMemoryLimit(int64(meshMemoryShare * float64(s.MemoryMB<<20)))
+	out := toucanlog.NewWriter(os.Stdout)
+	stopped := make(chan struct{})
+	go out.Run(stopped)
+	defer out.Flush()
+	defer close(stopped)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n, err := toucanmesh.New(toucanmesh.Options{
+		Settings: s, SettingsFile: file, Store: platform.NewStore(s.StoreAddress),
+		Clock: toucanclock.System{}, Log: toucanlog.NewLogger(out, s.LogLevel),
+		Dialect: toucanmesh.Dialect{
+			Headers: platform.Headers(), ConfigKey: platform.ConfigKey, Decode: platform.DecodeConfig,
+			Control: func(n *toucanmesh.Node, log *slog.Logger) http.Handler { return platform.ControlHandler(n, log) },
+			Ready:   platform.ReadyHandler,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		n.Reload()
+	}
+	n.Stop()
+	return nil
+}
--- /dev/null
+++ b/toucanbackend/runner.go
@@ -0,0 +1,277 @@
+package toucanbackend
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanconn"
+	"toucanhaven/toucanpeer"
+)
+
+// HeaderNames are the header fields of requests and responses that the nodes
+// set or read.
+type HeaderNames struct {
+	RequestID      string
+	DeadlineMillis string // milliseconds that the sender will wait
+	TargetInstance string // id of the backend server that must run the request
+	InstanceID     string // id of the backend server that answers
+	NotRun         string // the backend server did not run the request
+	Signature      string // of a backend server's response
+	CallerService  string // service of the VM where the request originated
+}
+
+const (
+	// keepTime is how long an outcome is kept for a sender whose connection
+	// broke.
+	keepTime = 2 * time.Second
+	// barTime is how long a call that was asked for before it arrived stays
+	// barred. It is longer than any connection delivers late.
+	barTime = 30 * time.Second
+	// pressureTime is how long a reported load of a called service counts.
+	pressureTime = time.Second
+	pressureGain = 0.1 // weight of a new report in the mean
+)
+
+// Runner runs calls at the backend server beside the node.
+type Runner struct {
+	names HeaderNames
+	clock toucanclock.Clock
+	log   *slog.Logger
+	pool  *toucanconn.Pool
+	gate  gate
+
+	mu       sync.Mutex
+	server   Server
+	runs     map[string]*run
+	pressure map[string]pressure // by called service
+	onChange func(Server)
+}
+
+type pressure struct {
+	load  float64
+	heard time.Time
+}
+
+// run is one call with its outcome.
+type run struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	result toucanpeer.Result
+}
+
+// NewRunner returns a runner that knows no backend server. onChange is told
+// when the server starts or stops taking calls.
+func NewRunner(names HeaderNames, clock toucanclock.Clock, log *slog.Logger, onChange func(Server)) *Runner {
+	return &Runner{
+		names: names, clock: clock, log: log, onChange: onChange,
+		pool: toucanconn.NewPool(maxIdle, clock.Now),
+		runs: make(map[string]*run), pressure: make(map[string]pressure),
+	}
+}
+
+// Server returns the backend server as it is known.
+func (r *Runner) Server() Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.server
+}
+
+// Observe takes a heartbeat.
+func (r *Runner) Observe(h Heartbeat) Verdict {
+	return r.change(func(s Server) (Server, Verdict) { return s.Observe(h, r.clock.Now()) })
+}
+
+// Leave notes that the server said that it is gone.
+func (r *Runner) Leave(instance string, born int64) Verdict {
+	return r.change(func(s Server) (Server, Verdict) { return s.Leave(instance, born) })
+}
+
+func (r *Runner) change(f func(Server) (Server, Verdict)) Verdict {
+	r.mu.Lock()
+	before := r.server
+	after, verdict := f(before)
+	r.server = after
+	r.mu.Unlock()
+	if verdict == Late {
+		return verdict
+	}
+	if after.Slots > 0 && after.Slots != before.Slots {
+		r.gate.setSlots(after.Slots)
+	}
+	if before.Address != "" && (before.Address != after.Address || before.Instance != after.Instance || before.Born != after.Born) {
+		r.pool.CloseAddress(before.Address)
+	}
+	if !after.Serving() {
+		r.gate.refuseWaiting()
+	}
+	if before.Serving() != after.Serving() || before.Instance != after.Instance || before.Born != after.Born || before.Slots != after.Slots {
+		r.onChange(after)
+	}
+	return verdict
+}
+
+// Report describes the load of the server and of what it calls.
+func (r *Runner) Report() toucanpeer.Report {
+	running, queued, limit := r.gate.load()
+	rep := toucanpeer.Report{Running: running, Queued: queued, Limit: limit}
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep.Serving = r.server.Serving()
+	for _, p := range r.pressure {
+		if now.Sub(p.heard) < pressureTime {
+			rep.Pressure = max(rep.Pressure, p.load)
+		}
+	}
+	return rep
+}
+
+// NotePressure takes the load of a service that the server calls.
+func (r *Runner) NotePressure(service string, load float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, now := r.pressure[service], r.clock.Now()
+	if now.Sub(p.heard) > pressureTime {
+		p.load = load
+	}
+	p.load += pressureGain * (load - p.load)
+	p.heard = now
+	r.pressure[service] = p
+}
+
+// Run runs a call, at most once for each id. A repeated id waits for the first.
+func (r *Runner) Run(ctx context.Context, c *toucanpeer.Call) toucanpeer.Result {
+	r.mu.Lock()
+	if u := r.runs[c.ID]; u != nil {
+		r.mu.Unlock()
+		return r.wait(ctx, u)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	u := &run{cancel: cancel, done: make(chan struct{})}
+	r.runs[c.ID] = u
+	r.mu.Unlock()
+	u.result = r.run(ctx, c)
+	close(u.done)
+	time.AfterFunc(keepTime, func() { r.forget(c.ID) })
+	return r.withReport(u.result)
+}
+
+func (r *Runner) withReport(res toucanpeer.Result) toucanpeer.Result {
+	res.Report = r.Report()
+	return res
+}
+
+func (r *Runner) forget(id string) {
+	r.mu.Lock()
+	delete(r.runs, id)
+	r.mu.Unlock()
+}
+
+func (r *Runner) wait(ctx context.Context, u *run) toucanpeer.Result {
+	select {
+	case <-u.done:
+		return r.withReport(u.result)
+	case <-ctx.Done():
+		return r.withReport(toucanpeer.Result{Outcome: toucancall.Unknown, Reason: toucancall.ReasonCancelled})
+	}
+}
+
+// Await waits for the outcome of a call that was sent on a connection that
+// broke. A call that has not arrived is barred, so that "not run" stays true.
+func (r *Runner) Await(ctx context.Context, id string) toucanpeer.Result {
+	r.mu.Lock()
+	u := r.runs[id]
+	if u == nil {
+		u = &run{cancel: func() {}, done: make(chan struct{}),
+			result: toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonConnectionLost}}
+		close(u.done)
+		r.runs[id] = u
+		time.AfterFunc(barTime, func() { r.forget(id) })
+	}
+	r.mu.Unlock()
+	return r.wait(ctx, u)
+}
+
+// Cancel ends a call whose caller has left, unless it may only run once and
+// has started.
+func (r *Runner) Cancel(id string) {
+	r.mu.Lock()
+	u := r.runs[id]
+	r.mu.Unlock()
+	if u != nil {
+		u.cancel()
+	}
+}
+
+func (r *Runner) run(ctx context.Context, c *toucanpeer.Call) toucanpeer.Result {
+	began := r.clock.Now()
+	if reason := r.refusal(c); reason != "" {
+		return r.refuse(c, reason)
+	}
+	if reason := r.gate.acquire(ctx, c.Priority, c.Left, c.Target); reason != "" {
+		return r.refuse(c, reason)
+	}
+	started := r.clock.Now()
+	s := r.Server()
+	if reason := r.refusal(c); reason != "" {
+		r.gate.release(0, false)
+		return r.refuse(c, reason)
+	}
+	if !c.Repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	resp, err := r.exchange(ctx, s, c, began.Add(c.Left))
+	took := r.clock.Now().Sub(started)
+	r.gate.release(took, err == nil && !r.notRun(resp))
+	res := r.outcome(resp, err)
+	r.log.Info("run", "request", c.ID, "route", c.Route, "instance", s.Instance, "outcome", string(res.Outcome), "reason", string(res.Reason),
+		"status", res.Status, "waited", started.Sub(began), "took", took, "err", errText(err))
+	return res
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// refusal returns why the server cannot take the call now.
+func (r *Runner) refusal(c *toucanpeer.Call) toucancall.Reason {
+	s := r.Server()
+	switch {
+	case s.Instance == "" || s.Service != c.Service:
+		return toucancall.ReasonNoBackend
+	case !s.Serving():
+		return toucancall.ReasonLeaving
+	}
+	return ""
+}
+
+func (r *Runner) refuse(c *toucanpeer.Call, reason toucancall.Reason) toucanpeer.Result {
+	rep := r.Report()
+	r.log.Info("refused", "request", c.ID, "route", c.Route, "reason", string(reason), "running", rep.Running, "queued", rep.Queued, "limit", rep.Limit)
+	return toucanpeer.Result{Outcome: toucancall.NotRun, Reason: reason}
+}
+
+func (r *Runner) outcome(resp *response, err error) toucanpeer.Result {
+	var failure *exchangeError
+	switch {
+	case errors.As(err, &failure) && !failure.sent:
+		return toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonConnect}
+	case err != nil:
+		return toucanpeer.Result{Outcome: toucancall.Unknown, Reason: toucancall.ReasonConnectionLost}
+	case r.notRun(resp):
+		return toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonBackendRefused, Status: resp.status}
+	}
+	return toucanpeer.Result{Outcome: toucancall.Answered, Status: resp.status, Header: endToEnd(resp.header), Body: resp.body}
+}
+
+// Tick closes idle connections.
+func (r *Runner) Tick() { r.pool.CloseIdle() }
--- /dev/null
+++ b/toucancall/hop.go
@@ -0,0 +1,22 @@
+package toucancall
+
+import "strings"
+
+// HopByHop reports whether a header field ends at this hop: the fields that
+// RFC 9110 section 7.6.1 names, those that the Connection field lists, and
+// those that frame the message.
+func HopByHop(key string, connection []string) bool {
+	switch key {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host":
+		return true
+	}
+	for _, value := range connection {
+		for name := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(name), key) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/toucannode/conn.go
+++ b/toucanconn/pool.go
@@ -1,4 +1,5 @@
-package toucannode
+// Package toucanconn keeps client connections that carry one request at a time.
+package toucanconn
 
 import (
 	"bufio"
@@ -12,31 +13,26 @@
 )
 
 const (
-	dialTimeout = time.Second
-	// peerIdle is shorter than the idle timeout of the peer listener, and
-	// backendIdle shorter than the common keep-alive timeout of 5 s, so that the
-	// client side closes an idle connection first. A request that meets a
-	// connection being closed by the server ends as unknown.
-	peerIdle    = 60 * time.Second
-	backendIdle = 4 * time.Second
+	// DialTimeout bounds a connection attempt.
+	DialTimeout = time.Second
 	// maxIdlePerAddress bounds the connections kept for one address.
 	maxIdlePerAddress = 2048
-	// maxAnswerHeaderBytes bounds the header of an answer, so that a faulty
+	// MaxHeaderBytes bounds the header of an answer, so that a faulty
 	// server cannot fill the memory of its node.
-	maxAnswerHeaderBytes = 1 << 20
-	readBufferBytes      = 4 << 10
+	MaxHeaderBytes  = 1 << 20
+	readBufferBytes = 4 << 10
 )
 
-// conn is a client connection that carries one request at a time. The package
+// Conn is a client connection that carries one request at a time. The package
 // does not use http.Transport, because the outcome of a call depends on knowing
 // exactly whether a byte was written, and because the transport repeats some
 // requests by itself when a pooled connection turns out to be closed.
-type conn struct {
+type Conn struct {
 	net.Conn
 	addr      string
 	raw       syscall.RawConn
-	r         *bufio.Reader
-	head      []byte // request header under construction
+	R         *bufio.Reader
+	Head      []byte // request header under construction
 	budget    int64  // bytes that may still be read of an answer header
 	idleSince time.Time
 	open      bool // result of the last check of the idle connection
@@ -45,8 +41,18 @@
 
 var errHeaderTooLarge = errors.New("answer header is too large")
 
+// LimitHeader bounds the bytes that are read until LimitNone is called, so that
+// a faulty server cannot fill the memory of its node.
+func (c *Conn) LimitHeader() { c.budget = MaxHeaderBytes }
+
+// LimitNone ends the bound of LimitHeader.
+func (c *Conn) LimitNone() { c.budget = -1 }
+
+// IdleSince returns when the connection was returned to its pool.
+func (c *Conn) IdleSince() time.Time { return c.idleSince }
+
 // Read bounds the bytes of an answer header; budget is negative for the body.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if c.budget == 0 {
 		return 0, errHeaderTooLarge
 	}
@@ -57,9 +63,9 @@
 	return n, err
 }
 
-// usable reports whether the peer has neither closed the idle connection nor
+// Usable reports whether the peer has neither closed the idle connection nor
 // sent anything on it.
-func (c *conn) usable() bool {
+func (c *Conn) Usable() bool {
 	c.open = false
 	if err := c.raw.Read(c.check); err != nil {
 		return false
@@ -67,35 +73,36 @@
 	return c.open
 }
 
-func (c *conn) peek(fd uintptr) bool {
+func (c *Conn) peek(fd uintptr) bool {
 	var b [1]byte
 	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	c.open = errors.Is(err, syscall.EAGAIN)
 	return true
 }
 
-// pool keeps idle connections by address.
-type pool struct {
+// Pool keeps idle connections by address.
+type Pool struct {
 	maxIdle time.Duration
 	now     func() time.Time
 
 	mu     sync.Mutex
-	idle   map[string][]*conn
+	idle   map[string][]*Conn
 	closed bool
 }
 
-func newPool(maxIdle time.Duration, now func() time.Time) *pool {
-	return &pool{maxIdle: maxIdle, now: now, idle: map[string][]*conn{}}
+// NewPool returns an empty pool that closes connections after an idle time.
+func NewPool(maxIdle time.Duration, now func() time.Time) *Pool {
+	return &Pool{maxIdle: maxIdle, now: now, idle: map[string][]*Conn{}}
 }
 
-// get returns an idle connection or dials one. reused tells which.
-func (p *pool) get(ctx context.Context, addr string, deadline time.Time) (c *conn, reused bool, err error) {
+// Get returns an idle connection or dials one. reused tells which.
+func (p *Pool) Get(ctx context.Context, addr string, deadline time.Time) (c *Conn, reused bool, err error) {
 	for {
-		c := p.pop(addr)
+		c := p.Pop(addr)
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		if c.Usable() {
 			return c, true, nil
 		}
 		c.Close()
@@ -104,7 +111,8 @@
 	return c, false, err
 }
 
-func (p *pool) pop(addr string) *conn {
+// Pop returns the connection to an address that was used last, or nil.
+func (p *Pool) Pop(addr string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
@@ -117,8 +125,8 @@
 	return c
 }
 
-func (p *pool) dial(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
+func (p *Pool) dial(ctx context.Context, addr string, deadline time.Time) (*Conn, error) {
+	d := net.Dialer{Timeout: DialTimeout, Deadline: deadline}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -128,13 +136,14 @@
 		nc.Close()
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, raw: raw}
+	c := &Conn{Conn: nc, addr: addr, raw: raw}
 	c.check = c.peek
-	c.r = bufio.NewReaderSize(c, readBufferBytes)
+	c.R = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
-func (p *pool) put(c *conn) {
+// Put returns a connection on which nothing is left to read.
+func (p *Pool) Put(c *Conn) {
 	c.idleSince = p.now()
 	p.mu.Lock()
 	list := p.idle[c.addr]
@@ -148,26 +157,26 @@
 	}
 }
 
-// closeIdle closes connections that have been idle for too long.
-func (p *pool) closeIdle() {
+// CloseIdle closes connections that have been idle for too long.
+func (p *Pool) CloseIdle() {
 	limit := p.now().Add(-p.maxIdle)
-	p.closeWhere(func(c *conn) bool { return c.idleSince.Before(limit) })
+	p.closeWhere(func(c *Conn) bool { return c.idleSince.Before(limit) })
 }
 
-// closeAddress closes the idle connections to one address.
-func (p *pool) closeAddress(addr string) {
-	p.closeWhere(func(c *conn) bool { return c.addr == addr })
+// CloseAddress closes the idle connections to one address.
+func (p *Pool) CloseAddress(addr string) {
+	p.closeWhere(func(c *Conn) bool { return c.addr == addr })
 }
 
-// close closes all idle connections and keeps none from then on.
-func (p *pool) close() {
+// Close closes all idle connections and keeps none from then on.
+func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.closeWhere(func(*conn) bool { return true })
+	p.closeWhere(func(*Conn) bool { return true })
 }
 
-func (p *pool) closeWhere(match func(*conn) bool) {
+func (p *Pool) closeWhere(match func(*Conn) bool) {
 	var drop []io.Closer
 	p.mu.Lock()
 	for addr, list := range p.idle {
--- /dev/null
+++ b/toucanentry/entry.go
@@ -0,0 +1,248 @@
+// Package toucanentry takes the requests of callers and of the backend server
+// beside the node and finds each a backend server.
+package toucanentry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"toucanhaven/toucanbackend"
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanfleet"
+	"toucanhaven/toucanpeer"
+	"toucanhaven/toucanretry"
+	"toucanhaven/toucanroute"
+	"toucanhaven/toucanserve"
+)
+
+const (
+	// maxTries bounds the nodes that are asked for one request. A node that
+	// refuses has not passed the request on.
+	maxTries = 4
+	// minLeft is the least time with which a request goes on.
+	minLeft = 2 * time.Millisecond
+	// retryAfterShare is the part of the latency objective after which a refused
+	// caller may come back; the bounds hold for very short and long objectives.
+	retryAfterShare = 0.25
+	minRetryAfter   = 30 * time.Millisecond
+	maxRetryAfter   = time.Second
+	// answerGrace is the time after the deadline in which the node that was sent
+	// the request still says what became of it.
+	answerGrace = 60 * time.Millisecond
+	// unknownRetryAfter is the pause while no configuration is known.
+	unknownRetryAfter = 200 * time.Millisecond
+)
+
+// Entry finds backend servers for requests.
+type Entry struct {
+	Names    toucanbackend.HeaderNames
+	Clock    toucanclock.Clock
+	Log      *slog.Logger
+	Fleet    *toucanfleet.Fleet
+	Runner   *toucanbackend.Runner
+	Splitter *toucanroute.Splitter
+	Budget   *toucanretry.Budget
+	Service  func() string // service of this VM
+	Table    atomic.Pointer[toucanroute.Table]
+	Metrics  Metrics
+}
+
+// Metrics counts outcomes.
+type Metrics interface {
+	Observe(route string, status int, took time.Duration)
+}
+
+// request is one request on its way through the entry.
+type request struct {
+	*toucanserve.Request
+	id       string
+	route    *toucanroute.Route
+	table    *toucanroute.Table
+	service  string
+	deadline time.Time
+	header   []string
+	tries    int
+	offered  bool // a backend server may have been sent the request
+	node     string
+	reason   toucancall.Reason
+}
+
+// Handle answers one request.
+func (e *Entry) Handle(ctx context.Context, r *toucanserve.Request) *toucanserve.Response {
+	q := &request{Request: r, id: r.Header.Get(e.Names.RequestID), table: e.Table.Load()}
+	resp := e.handle(ctx, q)
+	took := e.Clock.Now().Sub(r.Arrived)
+	route := ""
+	var version uint64
+	if q.route != nil {
+		route = q.route.Name
+	}
+	if q.table != nil {
+		version = q.table.Version
+	}
+	e.Metrics.Observe(route, resp.Status, took)
+	e.Log.Info("request", "request", q.id, "route", route, "version", version, "service", q.service, "child", r.Local,
+		"status", resp.Status, "reason", string(q.reason), "offered", q.offered, "tries", q.tries, "node", q.node, "took", took)
+	return resp
+}
+
+func (e *Entry) handle(ctx context.Context, q *request) *toucanserve.Response {
+	if q.table == nil {
+		q.reason = toucancall.ReasonNoBackend
+		return e.refuse(q, unknownRetryAfter)
+	}
+	q.route = q.table.Match(q.Host, q.Path)
+	switch {
+	case q.route == nil:
+		return plain(http.StatusNotFound)
+	case q.id == "":
+		return plain(http.StatusBadRequest)
+	}
+	left := q.route.Timeout
+	if v := q.Header.Get(e.Names.DeadlineMillis); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return plain(http.StatusBadRequest)
+		}
+		left = min(left, time.Duration(ms)*time.Millisecond)
+	}
+	q.deadline = q.Arrived.Add(left)
+	q.service = e.Splitter.Next(q.route)
+	q.header = e.endToEnd(q.Header)
+	e.Budget.Count(q.service)
+	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
+	defer cancel()
+	return e.attempt(ctx, q)
+}
+
+// attempt sends the request to one node after the other until one answers.
+func (e *Entry) attempt(ctx context.Context, q *request) *toucanserve.Response {
+	var tried []string
+	arrived := 0 // backend servers that may have been sent the request
+	for q.tries = 1; ; q.tries++ {
+		left := q.deadline.Sub(e.Clock.Now())
+		if left < minLeft || ctx.Err() != nil {
+			q.reason = toucancall.ReasonDeadline
+			return e.giveUp(q)
+		}
+		target, ok := e.Fleet.Choose(q.service, q.route.Name, q.route.Target, tried)
+		if !ok {
+			if q.reason == "" {
+				q.reason = toucancall.ReasonNoBackend
+			}
+			return e.giveUp(q)
+		}
+		tried = append(tried, target.Address())
+		q.node = target.Node
+		r := e.send(ctx, q, target, left)
+		q.reason = r.Reason
+		switch r.Outcome {
+		case toucancall.Answered:
+			q.offered = true
+			return e.pass(q, r)
+		case toucancall.NotRun:
+			if r.Reason == toucancall.ReasonBackendRefused {
+				arrived++
+			}
+		default:
+			q.offered = true
+			arrived++
+			if !q.route.Repeatable {
+				return e.giveUp(q)
+			}
+		}
+		if q.tries >= maxTries || arrived >= q.route.MaxServers {
+			return e.giveUp(q)
+		}
+		if arrived > 0 && !e.Budget.Spend(q.service, e.Fleet.Size()) {
+			return e.giveUp(q)
+		}
+	}
+}
+
+func (e *Entry) send(ctx context.Context, q *request, target toucanfleet.Target, left time.Duration) toucanpeer.Result {
+	c := &toucanpeer.Call{
+		ID: q.id, Service: q.service, Caller: e.Service(), Method: q.Method, URI: q.URI, Host: q.Host,
+		Header: q.header, Body: q.Body, Left: left, Target: q.route.Target, Priority: q.route.Priority,
+		Repeatable: q.route.Repeatable, Child: q.Local, Route: q.route.Name,
+	}
+	began := e.Clock.Now()
+	var r toucanpeer.Result
+	if target.Link == nil {
+		r = e.Runner.Run(ctx, c)
+	} else {
+		r = target.Link.Run(ctx, c)
+	}
+	e.Fleet.Done(target, q.route.Name, e.Clock.Now().Sub(began), r)
+	if q.Local && r.Report.Limit > 0 {
+		e.Runner.NotePressure(q.service, max(r.Report.Load(), r.Report.Pressure))
+	}
+	return r
+}
+
+// giveUp answers a request that got no answer of a backend server.
+func (e *Entry) giveUp(q *request) *toucanserve.Response {
+	if !q.offered {
+		return e.refuse(q, e.retryAfter(q.route))
+	}
+	if !q.deadline.After(e.Clock.Now()) {
+		return plain(http.StatusGatewayTimeout)
+	}
+	return plain(http.StatusBadGateway)
+}
+
+// refuse answers a request that has not run and will not.
+func (e *Entry) refuse(q *request, after time.Duration) *toucanserve.Response {
+	resp := plain(http.StatusServiceUnavailable)
+	resp.Header["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	return resp
+}
+
+// retryAfter spreads refused callers, so that they do not come back together.
+func (e *Entry) retryAfter(r *toucanroute.Route) time.Duration {
+	d := min(max(time.Duration(retryAfterShare*float64(r.Target)), minRetryAfter), maxRetryAfter)
+	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64()))
+}
+
+func plain(status int) *toucanserve.Response {
+	return &toucanserve.Response{Status: status, Header: http.Header{}}
+}
+
+// pass returns the answer of a backend server unchanged.
+func (e *Entry) pass(q *request, r toucanpeer.Result) *toucanserve.Response {
+	resp := &toucanserve.Response{Status: r.Status, Header: make(http.Header, len(r.Header)/2), Body: r.Body}
+	for i := 0; i+1 < len(r.Header); i += 2 {
+		resp.Header[r.Header[i]] = append(resp.Header[r.Header[i]], r.Header[i+1])
+	}
+	return resp
+}
+
+// endToEnd returns the fields that go on to the backend server, without those
+// that the nodes set.
+func (e *Entry) endToEnd(h http.Header) []string {
+	pairs := make([]string, 0, 2*len(h))
+	connection := h["Connection"]
+	for key, values := range h {
+		if toucancall.HopByHop(key, connection) || e.ownField(key) {
+			continue
+		}
+		for _, v := range values {
+			pairs = append(pairs, key, v)
+		}
+	}
+	return pairs
+}
+
+func (e *Entry) ownField(key string) bool {
+	switch key {
+	case e.Names.RequestID, e.Names.DeadlineMillis, e.Names.TargetInstance, e.Names.CallerService:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/toucanfleet/choose.go
@@ -0,0 +1,157 @@
+package toucanfleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanpeer"
+)
+
+const (
+	// nearLoad is the load up to which a member of the same data centre is
+	// preferred: bytes between data centres cost more than a short queue.
+	nearLoad = 0.8
+	// nearFailures is the share of failures up to which it is preferred.
+	nearFailures = 0.15
+	// nearLatency is the part of the latency objective that the mean latency of
+	// a preferred member may take.
+	nearLatency = 0.5
+	// farPenalty is the load by which a member of another data centre must be
+	// better.
+	farPenalty = 0.15
+	// failurePenalty is the load that a member which fails every call counts on
+	// top.
+	failurePenalty = 2.0
+	// latencyPenalty is the load that a mean latency of the whole objective
+	// counts.
+	latencyPenalty = 0.5
+	// noise spreads the choices of nodes that see the same reports.
+	noise = 0.1
+	// exploreShare is the part of the calls that go to any member, so that one
+	// that was avoided is seen to recover.
+	exploreShare = 0.01
+	// statGain is the weight of a new outcome in the means.
+	statGain = 0.1
+	// statTime is how long the means of a member that gets no calls hold.
+	statTime = 3 * time.Second
+)
+
+// stats are moving means of the outcomes of a member's calls.
+type stats struct {
+	failures float64
+	latency  map[string]float64 // seconds by route
+	updated  time.Time
+}
+
+// Target is a member that a call is sent to.
+type Target struct {
+	Node string
+	DC   string
+	Link *toucanpeer.Link // nil for this node itself
+	n    *node
+}
+
+// Address identifies the target.
+func (t Target) Address() string { return t.n.member.Address }
+
+// Choose returns the member for a call and counts the call in. It leaves out
+// the addresses in tried and reports false when none is left.
+func (f *Fleet) Choose(service, route string, objective time.Duration, tried []string) (Target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	var near, best *node
+	var nearScore, bestScore float64
+	explore := rand.Float64() < exploreShare
+	for _, n := range f.byService[service] {
+		if !f.usable(n, now) || contains(tried, n.member.Address) {
+			continue
+		}
+		load := n.load()
+		s := n.currentStats(now)
+		latency := s.latency[route] / objective.Seconds()
+		score := load + failurePenalty*s.failures + latencyPenalty*latency + noise*rand.Float64()
+		if n.member.DataCentre == f.self.DataCentre {
+			if load < nearLoad && s.failures < nearFailures && latency < nearLatency && (near == nil || score < nearScore) {
+				near, nearScore = n, score
+			}
+		} else {
+			score += farPenalty
+		}
+		if explore {
+			score = rand.Float64()
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = n, score
+		}
+	}
+	if near != nil && !explore {
+		best = near
+	}
+	if best == nil {
+		return Target{}, false
+	}
+	best.inFlight++
+	return Target{Node: best.member.Node, DC: best.member.DataCentre, Link: best.link, n: best}, true
+}
+
+// usable reports whether a member takes calls. mu is held.
+func (f *Fleet) usable(n *node, now time.Time) bool {
+	if n.link == nil {
+		n.setReport(f.local.Report(), now)
+		return n.report.Serving
+	}
+	return n.up && n.report.Serving && n.member.Service != ""
+}
+
+// load is the work of the member as a share of its limit, as far as known.
+func (n *node) load() float64 {
+	if n.report.Limit <= 0 {
+		return 0
+	}
+	return float64(n.others+n.inFlight) / float64(n.report.Limit)
+}
+
+func (n *node) currentStats(now time.Time) stats {
+	if now.Sub(n.stats.updated) > statTime {
+		return stats{}
+	}
+	return n.stats
+}
+
+// Done ends a call that Choose counted in.
+func (f *Fleet) Done(t Target, route string, took time.Duration, r toucanpeer.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, now := t.n, f.clock.Now()
+	n.inFlight--
+	if r.Reason == toucancall.ReasonCancelled || r.Reason == toucancall.ReasonOverload {
+		return
+	}
+	if now.Sub(n.stats.updated) > statTime || n.stats.latency == nil {
+		n.stats = stats{latency: make(map[string]float64)}
+	}
+	failed := 0.0
+	if r.Outcome != toucancall.Answered || r.Status >= 500 {
+		failed = 1
+	}
+	n.stats.failures += statGain * (failed - n.stats.failures)
+	if failed == 0 {
+		mean, known := n.stats.latency[route]
+		if !known {
+			mean = took.Seconds()
+		}
+		n.stats.latency[route] = mean + statGain*(took.Seconds()-mean)
+	}
+	n.stats.updated = now
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/toucanfleet/fleet.go
@@ -0,0 +1,332 @@
+// Package toucanfleet knows the members of each service and chooses the one
+// that a call is sent to.
+package toucanfleet
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanpeer"
+)
+
+const (
+	// unlistedTime is how long a member that is no longer listed and cannot be
+	// reached is dialled on. A node that was cut off from the store may come back
+	// at its address.
+	unlistedTime = 20 * time.Second
+	// tickTime is the time between looks at the links.
+	tickTime = 100 * time.Millisecond
+)
+
+// Local runs calls at the backend server beside this node.
+type Local interface {
+	Report() toucanpeer.Report
+}
+
+// Fleet is this node's view of the other nodes. It is safe for concurrent use.
+type Fleet struct {
+	clock   toucanclock.Clock
+	log     *slog.Logger
+	hello   func() toucanpeer.Hello
+	version func() uint64
+	newer   func(version uint64, link *toucanpeer.Link)
+	local   Local
+
+	mu        sync.Mutex
+	self      toucanpeer.Member
+	nodes     map[string]*node // by peer address
+	byService map[string][]*node
+	told      func(toucanpeer.Member) // what another node knows of this one
+}
+
+// node is one member as this node knows it.
+type node struct {
+	member   toucanpeer.Member
+	link     *toucanpeer.Link // nil for this node itself
+	up       bool
+	listed   bool      // in the store
+	seen     time.Time // last listed or connected
+	report   toucanpeer.Report
+	reported time.Time
+	others   int // calls of other nodes when the report was made
+	inFlight int // calls of this node
+	stats    stats
+}
+
+// Options are what a fleet needs of its node.
+type Options struct {
+	Clock   toucanclock.Clock
+	Log     *slog.Logger
+	Self    toucanpeer.Member
+	Hello   func() toucanpeer.Hello
+	Version func() uint64
+	// Newer is told when a node has a newer document.
+	Newer func(version uint64, link *toucanpeer.Link)
+	// Told is told what another node knows of this one.
+	Told  func(toucanpeer.Member)
+	Local Local
+}
+
+// New returns a fleet that knows only this node.
+func New(o Options) *Fleet {
+	f := &Fleet{
+		clock: o.Clock, log: o.Log, hello: o.Hello, version: o.Version, newer: o.Newer, local: o.Local, told: o.Told,
+		self: o.Self, nodes: make(map[string]*node), byService: make(map[string][]*node),
+	}
+	n := &node{up: true, listed: true}
+	f.nodes[o.Self.Address] = n
+	f.setMember(n, o.Self)
+	return f
+}
+
+// SetSelf replaces what is known of this node.
+func (f *Fleet) SetSelf(m toucanpeer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.self = m
+	f.setMember(f.nodes[m.Address], m)
+}
+
+// List replaces the listed members by those of the store.
+func (f *Fleet) List(members []toucanpeer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(members))
+	for _, m := range members {
+		listed[m.Address] = true
+		f.put(m)
+	}
+	for addr, n := range f.nodes {
+		if !listed[addr] && n.link != nil {
+			n.listed = false
+		}
+	}
+}
+
+// Put takes one member from the store.
+func (f *Fleet) Put(m toucanpeer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.put(m)
+}
+
+// Unlist notes that a member is no longer in the store. A node that answers on
+// its link stays in use, because a lapsed entry may only mean that the node
+// cannot reach the store.
+func (f *Fleet) Unlist(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, n := range f.nodes {
+		if n.member.Node == name && n.link != nil && n.listed {
+			n.listed = false
+			f.log.Info("member unlisted", "node", name, "address", address, "connected", n.up)
+		}
+	}
+}
+
+// Introduce takes a member that connected to this node.
+func (f *Fleet) Introduce(m toucanpeer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Address == "" || m.Address == f.self.Address {
+		return
+	}
+	n := f.nodes[m.Address]
+	if n == nil {
+		n = f.add(m)
+	}
+	f.setMember(n, m)
+	n.seen = f.clock.Now()
+}
+
+// Members returns all known members.
+func (f *Fleet) Members() []toucanpeer.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]toucanpeer.Member, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		list = append(list, n.member)
+	}
+	return list
+}
+
+// Known returns what is known of the node at an address.
+func (f *Fleet) Known(address string) toucanpeer.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.nodes[address]; n != nil {
+		return n.member
+	}
+	return toucanpeer.Member{}
+}
+
+// Size returns the number of nodes that are listed or connected, this one
+// included.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	size := 0
+	for _, n := range f.nodes {
+		if n.listed || n.up {
+			size++
+		}
+	}
+	return size
+}
+
+// put adds or updates a listed member. mu is held.
+func (f *Fleet) put(m toucanpeer.Member) {
+	if m.Address == "" || m.Address == f.self.Address {
+		return
+	}
+	n := f.nodes[m.Address]
+	if n == nil {
+		n = f.add(m)
+	}
+	n.listed = true
+	n.seen = f.clock.Now()
+	if !n.up { // what a connected node says of itself is newer
+		f.setMember(n, m)
+	}
+}
+
+// add creates the node of a member and its link. mu is held.
+func (f *Fleet) add(m toucanpeer.Member) *node {
+	n := &node{seen: f.clock.Now()}
+	n.link = toucanpeer.NewLink(m.Address, f.hello, f.version, f)
+	f.nodes[m.Address] = n
+	f.setMember(n, m)
+	f.log.Info("member added", "node", m.Node, "address", m.Address, "service", m.Service)
+	n.link.Tick(f.clock.Now())
+	return n
+}
+
+// setMember replaces the member of a node. mu is held.
+func (f *Fleet) setMember(n *node, m toucanpeer.Member) {
+	if n.member == m {
+		return
+	}
+	if n.member.Instance != m.Instance || n.member.Born != m.Born {
+		n.stats = stats{}
+	}
+	if n.member.Serving != m.Serving || n.member.Instance != m.Instance {
+		f.log.Info("member changed", "node", m.Node, "service", m.Service, "instance", m.Instance, "serving", m.Serving)
+	}
+	if n.member.Service != m.Service {
+		f.removeFromService(n)
+		f.byService[m.Service] = append(f.byService[m.Service], n)
+	}
+	n.member = m
+}
+
+func (f *Fleet) removeFromService(n *node) {
+	list := f.byService[n.member.Service]
+	for i, other := range list {
+		if other == n {
+			f.byService[n.member.Service] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// LinkUp takes the first message of a node.
+func (f *Fleet) LinkUp(addr string, reply toucanpeer.HelloReply) {
+	f.mu.Lock()
+	n := f.nodes[addr]
+	if n == nil {
+		f.mu.Unlock()
+		return
+	}
+	n.up, n.seen = true, f.clock.Now()
+	f.setMember(n, reply.Self)
+	n.setReport(reply.Report, f.clock.Now())
+	link := n.link
+	for _, m := range reply.Members {
+		if f.nodes[m.Address] == nil {
+			f.add(m)
+		}
+	}
+	f.mu.Unlock()
+	f.log.Info("peer connected", "node", reply.Self.Node, "address", addr, "version", reply.Report.Version)
+	f.told(reply.You)
+	f.checkVersion(reply.Report, link)
+}
+
+// LinkDown notes that a node cannot be reached.
+func (f *Fleet) LinkDown(addr string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.nodes[addr]; n != nil {
+		n.up = false
+		f.log.Info("peer lost", "node", n.member.Node, "address", addr, "listed", n.listed, "err", err)
+	}
+}
+
+// Reported takes the report that came with an answer. self is nil when the
+// answer does not describe the node.
+func (f *Fleet) Reported(addr string, self *toucanpeer.Member, r toucanpeer.Report) {
+	f.mu.Lock()
+	n := f.nodes[addr]
+	if n == nil {
+		f.mu.Unlock()
+		return
+	}
+	now := f.clock.Now()
+	n.seen = now
+	if self != nil {
+		f.setMember(n, *self)
+	}
+	n.setReport(r, now)
+	link := n.link
+	f.mu.Unlock()
+	f.checkVersion(r, link)
+}
+
+func (f *Fleet) checkVersion(r toucanpeer.Report, link *toucanpeer.Link) {
+	if r.Version > f.version() {
+		f.newer(r.Version, link)
+	}
+}
+
+func (n *node) setReport(r toucanpeer.Report, now time.Time) {
+	n.report, n.reported = r, now
+	n.others = max(0, r.Running+r.Queued-n.inFlight)
+}
+
+// Run looks after the links until stop is closed.
+func (f *Fleet) Run(stop <-chan struct{}) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f.tick()
+		case <-stop:
+			return
+		}
+	}
+}
+
+func (f *Fleet) tick() {
+	now := f.clock.Now()
+	f.mu.Lock()
+	links := make([]*toucanpeer.Link, 0, len(f.nodes))
+	for addr, n := range f.nodes {
+		switch {
+		case n.link == nil:
+		case !n.listed && !n.up && now.Sub(n.seen) > unlistedTime:
+			n.link.Close()
+			f.removeFromService(n)
+			delete(f.nodes, addr)
+			f.log.Info("member dropped", "node", n.member.Node, "address", addr)
+		default:
+			links = append(links, n.link)
+		}
+	}
+	f.mu.Unlock()
+	for _, l := range links {
+		l.Tick(now)
+	}
+}
--- /dev/null
+++ b/toucanmesh/member.go
@@ -0,0 +1,389 @@
+package toucanmesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"toucanhaven/toucanbackend"
+	"toucanhaven/toucanpeer"
+	"toucanhaven/toucanstore"
+)
+
+const (
+	memberPrefix = "members/"
+	leftPrefix   = "left/"
+	// leaseTTL is how long a member stays listed after its node fell silent, and
+	// renewTime the time between renewals.
+	leaseTTL  = 5 * time.Second
+	renewTime = time.Second
+	// retryTime is the pause after a failed call to the store.
+	retryTime = 300 * time.Millisecond
+	// markTTL is how long the departure of a backend server is remembered. It is
+	// longer than a server that leaves runs on.
+	markTTL = 60 * time.Second
+	// markTimeout bounds the wait for the store before a departure is
+	// acknowledged. A server calls another node when it waits a second.
+	markTimeout = 500 * time.Millisecond
+	// memberPause collects changes of members between two watches.
+	memberPause = 100 * time.Millisecond
+)
+
+// registration keeps this node's member in the store.
+type registration struct {
+	kick      chan struct{} // the member has changed
+	watchKick chan struct{}
+
+	mu       sync.Mutex
+	lease    int64
+	revision uint64
+	written  toucanpeer.Member
+	missing  bool // someone removed the key
+	lost     bool // the store does not answer
+}
+
+// startup is what a node knows of the backend server before it may use it.
+type startup struct {
+	mu         sync.Mutex
+	settled    bool // a departure before this start would be known
+	heartbeats int
+	last       toucanbackend.Heartbeat
+	departed   toucanpeer.Member // backend server that has left
+}
+
+// departure is the record of a backend server that leaves.
+type departure struct {
+	Instance string `json:"instance"`
+	Born     int64  `json:"born"`
+}
+
+// self describes this node.
+func (n *Node) self() toucanpeer.Member {
+	s, b := n.settings.Load(), n.runner.Server()
+	m := toucanpeer.Member{
+		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre, Service: s.Service,
+		Instance: b.Instance, Born: b.Born, Slots: b.Slots, Left: b.Left,
+		Serving: b.Serving() && !n.stopping.Load(),
+	}
+	if b.Instance != "" {
+		m.Service = b.Service
+	}
+	return m
+}
+
+func (n *Node) hello() toucanpeer.Hello {
+	n.member.mu.Lock()
+	defer n.member.mu.Unlock()
+	return toucanpeer.Hello{From: n.self(), WantMembers: n.member.lease == 0}
+}
+
+// backendChanged is told when the backend server starts or stops taking calls.
+func (n *Node) backendChanged(s toucanbackend.Server) {
+	n.log.Info("backend server changed", "instance", s.Instance, "born", s.Born, "service", s.Service, "serving", s.Serving(), "slots", s.Slots, "sequence", s.Sequence)
+	n.changed()
+}
+
+// changed spreads a change of this node.
+func (n *Node) changed() {
+	n.fleet.SetSelf(n.self())
+	signal(n.member.kick)
+}
+
+// Heartbeat takes a heartbeat of the backend server. A departure is recorded
+// before it is acknowledged, so that this node knows of it after a restart.
+func (n *Node) Heartbeat(h toucanbackend.Heartbeat) error {
+	s := n.settings.Load()
+	if h.Service != s.Service || h.Address != s.BackendAddress {
+		if n.file != "" {
+			n.Reload()
+			s = n.settings.Load()
+		}
+		if h.Service != s.Service || h.Address != s.BackendAddress {
+			return fmt.Errorf("server %s of service %q at %s is not the one on this VM, %q at %s", h.Instance, h.Service, h.Address, s.Service, s.BackendAddress)
+		}
+	}
+	if !n.admit(&h) {
+		return nil
+	}
+	n.observe(h)
+	return nil
+}
+
+// admit holds heartbeats back until a departure before this start would be
+// known: from the store, from another node, or because the server goes on
+// saying that it is ready.
+func (n *Node) admit(h *toucanbackend.Heartbeat) bool {
+	n.startup.mu.Lock()
+	defer n.startup.mu.Unlock()
+	n.startup.heartbeats++
+	if n.startup.heartbeats >= 2 && h.Sequence > n.startup.last.Sequence {
+		n.startup.settled = true
+	}
+	if n.startup.last.Born <= h.Born {
+		n.startup.last = *h
+	}
+	if n.startup.departed.Instance == h.Instance && n.startup.departed.Born == h.Born {
+		h.State = toucanbackend.Draining
+	}
+	return n.startup.settled || h.State == toucanbackend.Draining
+}
+
+func (n *Node) observe(h toucanbackend.Heartbeat) {
+	left := n.runner.Server().Left
+	verdict := n.runner.Observe(h)
+	if verdict == toucanbackend.Late {
+		n.log.Info("late heartbeat", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence, "state", string(h.State))
+		return
+	}
+	if h.State == toucanbackend.Draining && (!left || verdict == toucanbackend.Restarted) {
+		n.recordDeparture(h.Instance, h.Born)
+	}
+}
+
+// Leave takes the message of a backend server that is gone.
+func (n *Node) Leave(instance string, born int64) error {
+	if n.runner.Leave(instance, born) == toucanbackend.Late {
+		n.log.Info("departure of another server", "instance", instance, "born", born)
+		return nil
+	}
+	n.recordDeparture(instance, n.runner.Server().Born)
+	return nil
+}
+
+func (n *Node) recordDeparture(instance string, born int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), markTimeout)
+	defer cancel()
+	err := n.writeDeparture(ctx, departure{Instance: instance, Born: born})
+	n.log.Info("departure", "instance", instance, "born", born, "recorded", err == nil, "err", err)
+}
+
+func (n *Node) writeDeparture(ctx context.Context, d departure) error {
+	value, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	lease, err := n.store.Grant(ctx, markTTL)
+	if err != nil {
+		return err
+	}
+	_, err = n.store.Put(ctx, leftPrefix+n.settings.Load().Node, value, lease, toucanstore.Any)
+	return err
+}
+
+// recoverDeparture reads whether the backend server left before this start.
+func (n *Node) recoverDeparture(ctx context.Context) {
+	for ctx.Err() == nil {
+		item, err := n.store.Get(ctx, leftPrefix+n.settings.Load().Node)
+		switch {
+		case errors.Is(err, toucanstore.ErrNotFound):
+			n.settle(toucanpeer.Member{}, "store")
+			return
+		case err == nil:
+			var d departure
+			if err := json.Unmarshal(item.Value, &d); err != nil {
+				n.log.Error("unreadable departure", "key", item.Key, "err", err)
+			}
+			n.settle(toucanpeer.Member{Instance: d.Instance, Born: d.Born}, "store")
+			return
+		}
+		if n.isSettled() {
+			return
+		}
+		n.log.Warn("departures not read", "err", err)
+		sleep(ctx, retryTime)
+	}
+}
+
+// told takes what another node knows of this one.
+func (n *Node) told(m toucanpeer.Member) {
+	switch {
+	case m.Left:
+		n.settle(m, "peer")
+	case m.Instance != "":
+		n.settle(toucanpeer.Member{}, "peer")
+	}
+}
+
+func (n *Node) isSettled() bool {
+	n.startup.mu.Lock()
+	defer n.startup.mu.Unlock()
+	return n.startup.settled
+}
+
+// settle ends the wait for departures and takes the heartbeat that was held
+// back.
+func (n *Node) settle(departed toucanpeer.Member, source string) {
+	n.startup.mu.Lock()
+	before := n.startup.settled
+	n.startup.settled = true
+	if departed.Instance != "" {
+		n.startup.departed = departed
+	}
+	held, count := n.startup.last, n.startup.heartbeats
+	n.startup.mu.Unlock()
+	if before {
+		return
+	}
+	n.log.Info("departures known", "source", source, "departed", departed.Instance)
+	if count > 0 && n.admit(&held) {
+		n.observe(held)
+	}
+}
+
+// register keeps the member in the store until ctx ends.
+func (n *Node) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := n.registerOnce(ctx)
+		n.noteStore(err)
+		pause := renewTime
+		if err != nil {
+			pause = retryTime
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-n.member.kick:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// noteStore logs the loss and the return of the store. When it is back, watches
+// start over.
+func (n *Node) noteStore(err error) {
+	n.member.mu.Lock()
+	before := n.member.lost
+	n.member.lost = err != nil
+	n.member.mu.Unlock()
+	switch {
+	case err != nil && !before:
+		n.log.Warn("store lost", "err", err)
+	case err == nil && before:
+		n.log.Info("store regained")
+		signal(n.config.kick)
+		signal(n.member.watchKick)
+	}
+}
+
+// registerOnce renews the lease, or writes the member when it has changed or is
+// gone.
+func (n *Node) registerOnce(ctx context.Context) (err error) {
+	r := &n.member
+	r.mu.Lock()
+	lease, revision, written, missing := r.lease, r.revision, r.written, r.missing
+	r.mu.Unlock()
+	self := n.self()
+	if lease != 0 && written == self && !missing {
+		err := n.store.Renew(ctx, lease)
+		if !errors.Is(err, toucanstore.ErrLeaseEnded) {
+			return err
+		}
+		n.log.Info("lease ended", "lease", lease)
+		lease = 0
+	}
+	if lease == 0 {
+		if lease, err = n.store.Grant(ctx, leaseTTL); err != nil {
+			return err
+		}
+	}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	key := memberPrefix + self.Node
+	next, err := n.store.Put(ctx, key, value, lease, revision)
+	var conflict *toucanstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		revision = conflict.Current.Revision
+		next, err = n.store.Put(ctx, key, value, lease, revision)
+	case errors.Is(err, toucanstore.ErrLeaseEnded):
+		lease = 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = lease
+	if err != nil {
+		r.revision = revision
+		return err
+	}
+	r.revision, r.written, r.missing = next, self, false
+	n.log.Info("member written", "service", self.Service, "instance", self.Instance, "serving", self.Serving, "lease", lease, "revision", next)
+	return nil
+}
+
+// unregister removes the member from the store.
+func (n *Node) unregister() {
+	n.member.mu.Lock()
+	revision := n.member.revision
+	n.member.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	if err := n.store.Delete(ctx, memberPrefix+n.settings.Load().Node, revision); err != nil {
+		n.log.Warn("member not removed", "err", err)
+	}
+}
+
+// followMembers follows the members in the store.
+func (n *Node) followMembers(ctx context.Context) {
+	list := func(l toucanstore.Listing) {
+		var members []toucanpeer.Member
+		own := false
+		for _, i := range l.Items {
+			if m, ok := n.decodeMember(i); ok {
+				members = append(members, m)
+				own = own || m.Node == n.settings.Load().Node
+			}
+		}
+		n.fleet.List(members)
+		if !own {
+			n.noteMissing()
+		}
+	}
+	event := func(l toucanstore.Listing) {
+		for _, i := range l.Items {
+			n.memberEvent(i)
+		}
+	}
+	n.follow(ctx, memberPrefix, n.member.watchKick, memberPause, list, event)
+}
+
+func (n *Node) memberEvent(i toucanstore.Item) {
+	name := strings.TrimPrefix(i.Key, memberPrefix)
+	switch {
+	case !i.Removed:
+		if m, ok := n.decodeMember(i); ok {
+			n.fleet.Put(m)
+		}
+	case name == n.settings.Load().Node:
+		n.noteMissing()
+	default:
+		n.fleet.Unlist(name)
+	}
+}
+
+// noteMissing writes the member again when its key was removed by someone else.
+func (n *Node) noteMissing() {
+	n.member.mu.Lock()
+	written := n.member.written.Node != ""
+	if written && !n.stopping.Load() {
+		n.member.missing, n.member.revision = true, 0
+	}
+	n.member.mu.Unlock()
+	if written {
+		signal(n.member.kick)
+	}
+}
+
+func (n *Node) decodeMember(i toucanstore.Item) (m toucanpeer.Member, ok bool) {
+	if err := json.Unmarshal(i.Value, &m); err != nil || m.Address == "" || m.Node == "" {
+		n.log.Warn("unreadable member", "key", i.Key, "err", err)
+		return m, false
+	}
+	return m, true
+}
--- /dev/null
+++ b/toucanmesh/node.go
@@ -0,0 +1,281 @@
+package toucanmesh
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"toucanhaven/toucanbackend"
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanentry"
+	"toucanhaven/toucanfleet"
+	"toucanhaven/toucanpeer"
+	"toucanhaven/toucanretry"
+	"toucanhaven/toucanroute"
+	"toucanhaven/toucanserve"
+	"toucanhaven/toucanstore"
+)
+
+const (
+	// bufferShare is the part of the memory that request bodies may take.
+	bufferShare = 0.25
+	// stopIdle is how long a stopping node must have been idle before it ends,
+	// and stopMin the least time it serves on: the platform asks for readiness
+	// once a second and takes a node out after two misses.
+	stopIdle = 300 * time.Millisecond
+	stopMin  = 2500 * time.Millisecond
+	// stopReserve is the part of the grace time that is left for ending.
+	stopReserve = 400 * time.Millisecond
+	// settingsPoll is the time between looks at the settings file, which may
+	// change without a signal.
+	settingsPoll = time.Second
+	// defaultHeaderTimeout and defaultIdle hold until a configuration is known.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdle          = 15 * time.Second
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 1 << 20
+)
+
+// Dialect is how the deployment's platform is spoken to.
+type Dialect struct {
+	Headers   toucanbackend.HeaderNames
+	ConfigKey string
+	// Decode reads a configuration as the operator wrote it.
+	Decode func(data []byte) (*toucanroute.Table, error)
+	// Control serves the heartbeats of the backend server, Ready the readiness
+	// checks.
+	Control func(n *Node, log *slog.Logger) http.Handler
+	Ready   func(ready func() bool) http.Handler
+}
+
+// Options are the parts of a node.
+type Options struct {
+	Settings     Settings
+	SettingsFile string // read again when it changes; empty for never
+	Dialect      Dialect
+	Store        toucanstore.Store
+	Clock        toucanclock.Clock
+	Log          *slog.Logger
+}
+
+// Node is the daemon beside one backend server.
+type Node struct {
+	dialect     Dialect
+	file        string
+	clock       toucanclock.Clock
+	log         *slog.Logger
+	store       toucanstore.Store
+	incarnation uint64
+	settings    atomic.Pointer[Settings]
+
+	runner  *toucanbackend.Runner
+	fleet   *toucanfleet.Fleet
+	entry   *toucanentry.Entry
+	server  *toucanserve.Server
+	config  config
+	member  registration
+	startup startup
+	metrics *meter
+
+	stopping  atomic.Bool
+	stop      chan struct{}
+	listeners []net.Listener
+	tasks     sync.WaitGroup
+}
+
+// New returns a node that listens on its addresses. Start must be called.
+func New(o Options) (n *Node, err error) {
+	n = &Node{
+		dialect: o.Dialect, file: o.SettingsFile, clock: o.Clock, log: o.Log, store: o.Store,
+		incarnation: rand.Uint64(), stop: make(chan struct{}), metrics: newMeter(),
+	}
+	n.settings.Store(&o.Settings)
+	n.runner = toucanbackend.NewRunner(o.Dialect.Headers, o.Clock, o.Log, n.backendChanged)
+	n.member.kick = make(chan struct{}, 1)
+	n.config.kick, n.member.watchKick = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.fleet = toucanfleet.New(toucanfleet.Options{
+		Clock: o.Clock, Log: o.Log, Self: n.self(), Hello: n.hello, Version: n.version,
+		Newer: n.fetchConfig, Told: n.told, Local: (*host)(n),
+	})
+	n.entry = &toucanentry.Entry{
+		Names: o.Dialect.Headers, Clock: o.Clock, Log: o.Log, Fleet: n.fleet, Runner: n.runner,
+		Splitter: toucanroute.NewSplitter(),
+		Budget:   toucanretry.NewBudget(o.Clock, o.Settings.RetryWindow.Duration, o.Settings.RetryRatio, o.Settings.RetrySlack),
+		Service:  func() string { return n.settings.Load().Service },
+		Metrics:  n.metrics,
+	}
+	n.server = &toucanserve.Server{
+		Handler: n.entry.Handle, Bounds: n.bounds, RetryAfter: settingsPoll, Logger: o.Log,
+		BufferBytes: int64(bufferShare * float64(o.Settings.MemoryMB<<20)),
+	}
+	return n, nil
+}
+
+// Start listens and serves. It fails when an address cannot be listened on.
+func (n *Node) Start() (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start the node: %w", err)
+		}
+	}()
+	s := n.settings.Load()
+	n.log.Info("start", "node", s.Node, "service", s.Service, "data_centre", s.DataCentre, "incarnation", n.incarnation)
+	peers, err := n.listen(s.PeerAddress)
+	if err != nil {
+		return err
+	}
+	callers, err := n.listen(s.CallerAddress)
+	if err != nil {
+		return err
+	}
+	if err := n.serveHTTP(s.ControlAddress, n.dialect.Control(n, n.log)); err != nil {
+		return err
+	}
+	if err := n.serveHTTP(s.ReadyAddress, n.dialect.Ready(n.Ready)); err != nil {
+		return err
+	}
+	if s.MetricsAddress != "" {
+		if err := n.serveHTTP(s.MetricsAddress, n.metrics); err != nil {
+			return err
+		}
+	}
+	n.tasks.Go(func() { n.logError(toucanpeer.Serve(peers, (*host)(n), n.log)) })
+	n.tasks.Go(func() { n.logError(n.server.Serve(callers)) })
+	n.tasks.Go(func() { n.fleet.Run(n.stop) })
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-n.stop; cancel() }()
+	n.tasks.Go(func() { n.recoverDeparture(ctx); n.register(ctx) })
+	n.tasks.Go(func() { n.followConfig(ctx) })
+	n.tasks.Go(func() { n.followMembers(ctx) })
+	n.tasks.Go(func() { n.pollSettings() })
+	return nil
+}
+
+func (n *Node) logError(err error) {
+	if err != nil {
+		n.log.Error("listener failed", "err", err)
+	}
+}
+
+func (n *Node) listen(address string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAlive: -1} // dead callers are found by their idle time
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	if err == nil {
+		n.listeners = append(n.listeners, l)
+	}
+	return l, err
+}
+
+func (n *Node) serveHTTP(address string, h http.Handler) error {
+	l, err := n.listen(address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: time.Minute}
+	go srv.Serve(l)
+	return nil
+}
+
+// Ready reports whether callers may be sent to this node.
+func (n *Node) Ready() bool { return !n.stopping.Load() && n.entry.Table.Load() != nil }
+
+// Stop ends the node in order: callers are sent elsewhere, requests in progress
+// end, then the member is removed. It takes at most the grace time.
+func (n *Node) Stop() {
+	s := n.settings.Load()
+	began := n.clock.Now()
+	deadline := began.Add(s.Grace.Duration - stopReserve)
+	n.log.Info("stop", "active", n.server.Active())
+	n.stopping.Store(true)
+	n.server.Drain()
+	n.changed()
+	idleSince := began
+	for now := began; now.Before(deadline); now = n.clock.Now() {
+		if n.server.Active() > 0 || n.running() > 0 {
+			idleSince = now
+		}
+		if now.Sub(idleSince) >= stopIdle && now.Sub(began) >= stopMin {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	n.log.Info("stopped", "active", n.server.Active(), "running", n.running(), "took", n.clock.Now().Sub(began))
+	n.unregister()
+	close(n.stop)
+	for _, l := range n.listeners {
+		l.Close()
+	}
+}
+
+func (n *Node) running() int {
+	r := n.runner.Report()
+	return r.Running + r.Queued
+}
+
+func (n *Node) bounds() toucanserve.Bounds {
+	t := n.entry.Table.Load()
+	if t == nil {
+		return toucanserve.Bounds{HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdle}
+	}
+	return toucanserve.Bounds{HeaderBytes: t.Limits.HeaderBytes, BodyBytes: t.Limits.BodyBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout}
+}
+
+// pollSettings reads the settings file again when it has changed.
+func (n *Node) pollSettings() {
+	t := time.NewTicker(settingsPoll)
+	defer t.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-t.C:
+		case <-n.stop:
+			return
+		}
+		n.runner.Tick()
+		info, err := os.Stat(n.file)
+		if n.file == "" || err != nil || info.ModTime().Equal(last) {
+			continue
+		}
+		if !last.IsZero() {
+			n.Reload()
+		}
+		last = info.ModTime()
+	}
+}
+
+// Reload reads the settings file again. Addresses that the node listens on stay
+// as they are.
+func (n *Node) Reload() {
+	s, err := LoadSettings(n.file)
+	if err != nil {
+		n.log.Error("reload failed; the settings stay as they are", "err", err)
+		return
+	}
+	if old := n.settings.Swap(&s); *old != s {
+		n.log.Info("reload", "service", s.Service, "data_centre", s.DataCentre)
+		n.changed()
+	}
+}
+
+// meter counts outcomes and serves them as text.
+type meter struct{ set *metrics.Set }
+
+func newMeter() *meter { return &meter{set: metrics.NewSet()} }
+
+// Observe counts a request of a route.
+func (m *meter) Observe(route string, status int, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`toucan_requests_total{route=%q,status="%d"}`, route, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`toucan_request_seconds{route=%q}`, route)).Update(took.Seconds())
+}
+
+// ServeHTTP writes all metrics.
+func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/toucanmesh/settings.go
@@ -0,0 +1,92 @@
+// Package toucanmesh is the daemon beside a backend server that serves versioned
+// routes and keeps what must last in a key-value store.
+package toucanmesh
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Settings are the settings of one node.
+type Settings struct {
+	Node           string `toml:"node"`    // unique name of the VM
+	Service        string `toml:"service"` // service of the backend server on the VM
+	DataCentre     string `toml:"data_centre"`
+	CallerAddress  string `toml:"caller_address"`  // requests of callers and of the backend server
+	ReadyAddress   string `toml:"ready_address"`   // readiness checks
+	ControlAddress string `toml:"control_address"` // heartbeats of the backend server
+	PeerAddress    string `toml:"peer_address"`    // other nodes
+	MetricsAddress string `toml:"metrics_address"` // empty for none
+	BackendAddress string `toml:"backend_address"`
+	StoreAddress   string `toml:"store_address"`
+	MemoryMB       int    `toml:"memory_mb"` // limit of the process
+	// Heartbeat is the time between heartbeats of the backend server.
+	Heartbeat duration `toml:"heartbeat"`
+	// Grace is the time between SIGTERM and the end of the process.
+	Grace duration `toml:"grace"`
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats of all nodes
+	// together: the ratio of the requests of a window plus the slack.
+	RetryRatio  float64    `toml:"retry_ratio"`
+	RetrySlack  float64    `toml:"retry_slack"`
+	RetryWindow duration   `toml:"retry_window"`
+	LogLevel    slog.Level `toml:"log_level"`
+}
+
+// duration is a time.Duration written like "1.5s".
+type duration struct{ time.Duration }
+
+func (d *duration) UnmarshalText(text []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(text))
+	return err
+}
+
+// LoadSettings reads and checks a settings file. Unknown fields are ignored.
+func LoadSettings(file string) (s Settings, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("settings %s: %w", file, err)
+		}
+	}()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return s, err
+	}
+	if _, err := toml.Decode(string(data), &s); err != nil {
+		return s, err
+	}
+	return s, s.check()
+}
+
+func (s Settings) check() error {
+	for _, f := range []struct{ name, value string }{
+		{"node", s.Node}, {"service", s.Service}, {"data_centre", s.DataCentre},
+	} {
+		if f.value == "" {
+			return fmt.Errorf("%s is missing", f.name)
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"caller_address", s.CallerAddress}, {"ready_address", s.ReadyAddress}, {"control_address", s.ControlAddress},
+		{"peer_address", s.PeerAddress}, {"backend_address", s.BackendAddress}, {"store_address", s.StoreAddress},
+	} {
+		if _, _, err := net.SplitHostPort(f.value); err != nil {
+			return fmt.Errorf("%s %q is not HOST:PORT", f.name, f.value)
+		}
+	}
+	switch {
+	case s.MemoryMB < 16:
+		return fmt.Errorf("memory_mb is %d, want at least 16", s.MemoryMB)
+	case s.Grace.Duration <= 0:
+		return fmt.Errorf("grace is %v, want more than 0", s.Grace)
+	case s.RetryWindow.Duration <= 0:
+		return fmt.Errorf("retry_window is %v, want more than 0", s.RetryWindow)
+	case s.RetryRatio < 0 || s.RetrySlack < 0:
+		return fmt.Errorf("retry_ratio %v and retry_slack %v must not be negative", s.RetryRatio, s.RetrySlack)
+	}
+	return nil
+}
--- a/toucannode/admin.go
+++ b/toucannode/admin.go
@@ -14,6 +14,7 @@
 
 	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanconn"
 )
 
 // announcement is the body of POST /announce.
@@ -184,7 +185,7 @@
 	if !check {
 		return
 	}
-	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	c, err := net.DialTimeout("tcp", address, toucanconn.DialTimeout)
 	if err != nil {
 		return
 	}
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -325,7 +325,7 @@
 	switch rep.refusal.Reason {
 	case toucancall.ReasonLeaving:
 		n.directory.MarkLeaving(e.call.Service, server.ID)
-		n.peers.closeAddress(server.PeerAddress)
+		n.peers.CloseAddress(server.PeerAddress)
 	case toucancall.ReasonConnect:
 		if !rep.hop.reported {
 			n.directory.MarkUnreachable(e.call.Service, server.ID)
@@ -344,7 +344,7 @@
 	call.EachHeader(n.clock.Now(), extra.set)
 	extra.set(toucancall.HeaderCallerKey, callerKey(call, in.r))
 	out := in.outgoing(extra)
-	x, err := n.peers.send(ctx, call.Deadline.Add(peerGrace), address, out, forwardInterim(in.w))
+	x, err := send(ctx, n.peers, call.Deadline.Add(peerGrace), address, out, forwardInterim(in.w))
 	if err != nil {
 		rep := n.classify(ctx, err, in.body)
 		if rep.refusal.Outcome == toucancall.NotRun {
--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -13,6 +13,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanconn"
 )
 
 // outgoing is a request as it goes on the wire to the next hop.
@@ -60,8 +63,8 @@
 // exchange is one request on one connection, from the moment that its answer
 // header has arrived.
 type exchange struct {
-	pool    *pool
-	c       *conn
+	pool    *toucanconn.Pool
+	c       *toucanconn.Conn
 	resp    *http.Response
 	stop    func() bool // stops cancellation; false when it has fired
 	writing chan error  // ends with the streamed body; nil without one
@@ -75,22 +78,22 @@
 
 // send writes the request on a pooled or new connection and reads the answer
 // header. The connection is interrupted when ctx ends or the deadline passes.
-func (p *pool) send(ctx context.Context, deadline time.Time, addr string, out *outgoing, onInterim interim) (*exchange, error) {
+func send(ctx context.Context, p *toucanconn.Pool, deadline time.Time, addr string, out *outgoing, onInterim interim) (*exchange, error) {
 	for {
-		c, reused, err := p.get(ctx, addr, deadline)
+		c, reused, err := p.Get(ctx, addr, deadline)
 		if err != nil {
 			return nil, &sendError{err: err}
 		}
-		x, err := p.sendOn(ctx, c, deadline, out, onInterim)
+		x, err := sendOn(ctx, p, c, deadline, out, onInterim)
 		var failure *sendError
-		if reused && errors.As(err, &failure) && !failure.sent && failure.err != errNotConfirmed && ctx.Err() == nil && p.now().Before(deadline) {
+		if reused && errors.As(err, &failure) && !failure.sent && failure.err != errNotConfirmed && ctx.Err() == nil && time.Now().Before(deadline) {
 			continue // the pooled connection was closed before a byte was written
 		}
 		return x, err
 	}
 }
 
-func (p *pool) sendOn(ctx context.Context, c *conn, deadline time.Time, out *outgoing, onInterim interim) (x *exchange, err error) {
+func sendOn(ctx context.Context, p *toucanconn.Pool, c *toucanconn.Conn, deadline time.Time, out *outgoing, onInterim interim) (x *exchange, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		c.Close()
 		return nil, &sendError{err: err}
@@ -120,14 +123,14 @@
 // write sends header and buffered body in one piece. The rest of a longer body
 // is streamed by a goroutine, because the answer may start before it ends.
 func (x *exchange) write(out *outgoing, sent *atomic.Bool) error {
-	x.c.head = appendHead(x.c.head[:0], out)
+	x.c.Head = appendHead(x.c.Head[:0], out)
 	if out.body.plain() {
 		if out.body != nil {
-			x.c.head = append(x.c.head, out.body.prefix...)
+			x.c.Head = append(x.c.Head, out.body.prefix...)
 		}
-		return writeAll(x.c, x.c.head, sent)
+		return writeAll(x.c, x.c.Head, sent)
 	}
-	if err := writeAll(x.c, x.c.head, sent); err != nil {
+	if err := writeAll(x.c, x.c.Head, sent); err != nil {
 		return err
 	}
 	x.writing, out.body.released = make(chan error, 1), make(chan struct{})
@@ -146,7 +149,7 @@
 	return nil
 }
 
-func writeAll(c *conn, p []byte, sent *atomic.Bool) error {
+func writeAll(c *toucanconn.Conn, p []byte, sent *atomic.Bool) error {
 	n, err := c.Conn.Write(p)
 	if n > 0 {
 		sent.Store(true)
@@ -154,10 +157,10 @@
 	return err
 }
 
-func readAnswer(c *conn, method string, onInterim interim) (*http.Response, error) {
-	c.budget = maxAnswerHeaderBytes
+func readAnswer(c *toucanconn.Conn, method string, onInterim interim) (*http.Response, error) {
+	c.LimitHeader()
 	for {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.R, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -165,7 +168,7 @@
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
 		case resp.StatusCode >= 200:
-			c.budget = -1
+			c.LimitNone()
 			return resp, nil
 		case resp.StatusCode != http.StatusContinue && onInterim != nil:
 			onInterim(resp.StatusCode, resp.Header)
@@ -183,7 +186,7 @@
 }
 
 // buffered reports whether a read would return at once.
-func (x *exchange) buffered() bool { return x.c.r.Buffered() > 0 }
+func (x *exchange) buffered() bool { return x.c.R.Buffered() > 0 }
 
 // finish returns the connection to the pool when nothing is left on it, and
 // closes it otherwise.
@@ -192,9 +195,9 @@
 	if x.writing != nil {
 		clean = clean && body.readToEnd() && x.awaitWriting()
 	}
-	clean = x.stop() && clean && x.c.r.Buffered() == 0
+	clean = x.stop() && clean && x.c.R.Buffered() == 0
 	if clean && x.c.SetDeadline(time.Time{}) == nil {
-		x.pool.put(x.c)
+		x.pool.Put(x.c)
 		return
 	}
 	x.close()
@@ -232,7 +235,7 @@
 	b = append(b, "\r\n"...)
 	connection := out.header["Connection"]
 	for key, values := range out.header {
-		if out.extra.has(key) || hopByHop(key, connection) {
+		if out.extra.has(key) || toucancall.HopByHop(key, connection) {
 			continue
 		}
 		for _, value := range values {
@@ -255,25 +258,6 @@
 	return append(b, "\r\n"...)
 }
 
-// hopByHop reports whether a header field ends at this hop: the fields that
-// RFC 9110 section 7.6.1 names, those that the Connection field lists, and
-// those that frame the message.
-func hopByHop(key string, connection []string) bool {
-	switch key {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host":
-		return true
-	}
-	for _, value := range connection {
-		for name := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(strings.TrimSpace(name), key) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 const (
 	copyBufferBytes = 32 << 10
 	// chunkOverhead is the space for the size line and the end of one chunk.
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -19,6 +19,7 @@
 	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclock"
+	"toucanhaven/toucanconn"
 	"toucanhaven/toucankv"
 	"toucanhaven/toucanmember"
 	"toucanhaven/toucansettings"
@@ -28,6 +29,12 @@
 	// serverIdle is longer than the idle time after which clients close their
 	// side, see peerIdle.
 	serverIdle = 90 * time.Second
+	// peerIdle is shorter than the idle timeout of the peer listener, and
+	// backendIdle shorter than the common keep-alive timeout of 5 s, so that the
+	// client side closes an idle connection first. A request that meets a
+	// connection being closed by the server ends as unknown.
+	peerIdle    = 60 * time.Second
+	backendIdle = 4 * time.Second
 	// writeTimeout ends a connection whose reader takes no bytes. It is longer
 	// than any call may last.
 	writeTimeout = toucancall.MaxTimeout + 10*time.Second
@@ -83,8 +90,8 @@
 
 	local    local
 	parents  parentTable
-	peers    *pool
-	backends *pool
+	peers    *toucanconn.Pool
+	backends *toucanconn.Pool
 	metrics  *nodeMetrics
 	admin    *http.ServeMux
 	control  *rpc.Server
@@ -125,7 +132,7 @@
 		n.kv = toucankv.NewClient(n.settings.KVAddress.String())
 	}
 	n.ctx, n.end = context.WithCancel(context.Background())
-	n.peers, n.backends = newPool(peerIdle, n.clock.Now), newPool(backendIdle, n.clock.Now)
+	n.peers, n.backends = toucanconn.NewPool(peerIdle, n.clock.Now), toucanconn.NewPool(backendIdle, n.clock.Now)
 	n.clients = &controlClients{clock: n.clock}
 	n.metrics = newNodeMetrics(n)
 	if n.kv != nil {
@@ -361,8 +368,8 @@
 }
 
 func (n *Node) tick() {
-	n.peers.closeIdle()
-	n.backends.closeIdle()
+	n.peers.CloseIdle()
+	n.backends.CloseIdle()
 	n.clients.closeIdle()
 	n.checkBackend()
 }
@@ -383,8 +390,8 @@
 	err = n.shutDown(ctx)
 	n.end()
 	n.closeControl()
-	n.peers.close()
-	n.backends.close()
+	n.peers.Close()
+	n.backends.Close()
 	n.clients.close()
 	n.background.Wait()
 	n.log.Info("stopped", slog.Bool("whole", err == nil))
--- a/toucannode/outcome_test.go
+++ b/toucannode/outcome_test.go
@@ -18,6 +18,7 @@
 
 	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanconn"
 )
 
 // rawBackend is a backend server that speaks bytes. It reads one request header
@@ -96,7 +97,7 @@
 		{"half_chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false, "broken", 0, 1, "outcome=failed"},
 		{"deadline", "", true, "unknown deadline", 504, 1, "outcome=unknown"},
 		{"deadline_half_body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true, "failed deadline", 502, 1, "outcome=failed"},
-		{"huge_header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", maxAnswerHeaderBytes+1) + "\r\n\r\n", false, "unknown connection_lost", 504, 1, "outcome=unknown"},
+		{"huge_header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", toucanconn.MaxHeaderBytes+1) + "\r\n\r\n", false, "unknown connection_lost", 504, 1, "outcome=unknown"},
 	}
 	for _, tt := range tests {
 		for _, hops := range []int{1, 2} {
@@ -220,12 +221,12 @@
 				is.Equal(b.requests.Load(), int64(i+1))
 				// The connection went to the pool; wait until its end arrives.
 				await(t, func() bool {
-					c := node.backends.pop(b.Addr().String())
+					c := node.backends.Pop(b.Addr().String())
 					if c == nil {
 						return true
 					}
-					node.backends.put(c)
-					return !c.usable()
+					node.backends.Put(c)
+					return !c.Usable()
 				})
 			}
 		})
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -259,7 +259,7 @@
 	if r.once != nil {
 		out.confirm = r.once.Confirm
 	}
-	x, err := n.backends.send(ctx, r.call.Deadline, address, out, forwardInterim(r.in.w))
+	x, err := send(ctx, n.backends, r.call.Deadline, address, out, forwardInterim(r.in.w))
 	if err != nil {
 		rep := n.classify(ctx, err, r.in.body)
 		if rep.refusal.Reason == toucancall.ReasonConnect {
--- /dev/null
+++ b/toucanretry/budget.go
@@ -0,0 +1,90 @@
+package toucanretry
+
+import (
+	"sync"
+	"time"
+
+	"toucanhaven/toucanclock"
+)
+
+const (
+	// budgetSlots divides the window of a budget.
+	budgetSlots = 10
+	// ratioShare and slackShare are the parts of the shared budget that nodes
+	// spend. The rest covers what one node cannot see: the calls of repeated runs
+	// and nodes that restart.
+	ratioShare = 0.6
+	slackShare = 0.5
+)
+
+// Budget bounds the repeats that a node sends to each service, as its part of a
+// budget that all nodes share: a share of the requests of a sliding window and
+// a fixed number on top. It is safe for concurrent use.
+type Budget struct {
+	clock  toucanclock.Clock
+	window time.Duration
+	ratio  float64
+	slack  float64
+	began  time.Time
+
+	mu       sync.Mutex
+	services map[string]*budgetWindow
+}
+
+type budgetWindow struct {
+	slot     int64
+	requests [budgetSlots]int
+	repeats  [budgetSlots]int
+}
+
+// NewBudget returns a budget of ratio times the requests of a window plus
+// slack, over all nodes.
+func NewBudget(clock toucanclock.Clock, window time.Duration, ratio, slack float64) *Budget {
+	return &Budget{clock: clock, window: window, ratio: ratio, slack: slack, began: clock.Now(), services: make(map[string]*budgetWindow)}
+}
+
+// Count adds a request for a service.
+func (b *Budget) Count(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.current(service)
+	w.requests[w.slot%budgetSlots]++
+}
+
+// Spend takes one repeat and reports whether there was one. nodes is the number
+// of nodes that share the fixed part. In its first window a node takes none of
+// that part, because an earlier start of it may have spent it.
+func (b *Budget) Spend(service string, nodes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.current(service)
+	requests, repeats := 0, 0
+	for i := range w.requests {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	allowed := ratioShare * b.ratio * float64(requests)
+	if b.clock.Now().Sub(b.began) >= b.window {
+		allowed += slackShare * b.slack / float64(max(1, nodes))
+	}
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	w.repeats[w.slot%budgetSlots]++
+	return true
+}
+
+// current returns the window of a service, moved to now. mu is held.
+func (b *Budget) current(service string) *budgetWindow {
+	w := b.services[service]
+	if w == nil {
+		w = &budgetWindow{}
+		b.services[service] = w
+	}
+	slot := int64(b.clock.Now().Sub(b.began) / (b.window / budgetSlots))
+	for w.slot < slot {
+		w.slot = max(w.slot+1, slot-budgetSlots+1)
+		w.requests[w.slot%budgetSlots], w.repeats[w.slot%budgetSlots] = 0, 0
+	}
+	return w
+}
--- /dev/null
+++ b/toucanroute/table.go
@@ -0,0 +1,125 @@
+// Package toucanroute maps requests to services by versioned routes.
+package toucanroute
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Share is one service of a route with its part of the route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says where the requests of one host and path prefix go and what they
+// are promised.
+type Route struct {
+	Name       string
+	Host       string
+	Prefix     string // begins and ends with a slash
+	Repeatable bool   // a request may run more than once
+	Timeout    time.Duration
+	Target     time.Duration // latency objective
+	Priority   int           // 0 is served first
+	MaxServers int           // backend servers that one request may be sent to
+	Shares     []Share
+}
+
+// Service holds what the operator says of one service.
+type Service struct {
+	Name           string
+	MaxConnections int // accepted by each backend server; 0 means unknown
+}
+
+// Limits bounds what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	byHost   map[string][]*Route // longest prefix first
+}
+
+// RouteError reports an invalid route or service.
+type RouteError struct {
+	Name   string
+	Reason string
+}
+
+func (e *RouteError) Error() string { return fmt.Sprintf("route %q: %s", e.Name, e.Reason) }
+
+// NewTable checks and indexes the routes. It fails with a *RouteError.
+func NewTable(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
+	t := &Table{Version: version, Routes: routes, Services: services, Limits: limits, byHost: make(map[string][]*Route)}
+	known := make(map[string]bool, len(services))
+	for _, s := range services {
+		known[s.Name] = true
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.check(known); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t, nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	fail := func(format string, args ...any) error {
+		return &RouteError{Name: r.Name, Reason: fmt.Sprintf(format, args...)}
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fail("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		return fail("timeout %v is not positive", r.Timeout)
+	}
+	if r.MaxServers < 1 {
+		return fail("at most %d backend servers per request", r.MaxServers)
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if !services[s.Service] {
+			return fail("unknown service %q", s.Service)
+		}
+		if s.Weight < 0 {
+			return fail("negative weight %d of service %q", s.Weight, s.Service)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return fail("no service with a weight")
+	}
+	return nil
+}
+
+// Match returns the route with the longest prefix of the path among those of
+// the host, which may carry a port. It returns nil when there is none.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
