--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -32,9 +33,6 @@
 	// barTime is how long a call that was asked for before it arrived stays
 	// barred. It is longer than any connection delivers late.
 	barTime = 30 * time.Second
-	// pressureTime is how long a reported load of a called service counts.
-	pressureTime = time.Second
-	pressureGain = 0.1 // weight of a new report in the mean
 )
 
 // Runner runs calls at the backend server beside the node.
@@ -48,15 +46,9 @@
 	mu       sync.Mutex
 	server   Server
 	runs     map[string]*run
-	pressure map[string]pressure // by called service
 	onChange func(Server)
 }
 
-type pressure struct {
-	load  float64
-	heard time.Time
-}
-
 // run is one call with its outcome.
 type run struct {
 	cancel context.CancelFunc
@@ -70,7 +62,7 @@
 	return &Runner{
 		names: names, clock: clock, log: log, onChange: onChange,
 		pool: toucanconn.NewPool(maxIdle, clock.Now),
-		runs: make(map[string]*run), pressure: make(map[string]pressure),
+		runs: make(map[string]*run),
 	}
 }
 
@@ -115,33 +107,10 @@
 	return verdict
 }
 
-// Report describes the load of the server and of what it calls.
+// Report describes the load of the server.
 func (r *Runner) Report() toucanpeer.Report {
 	running, queued, limit := r.gate.load()
-	rep := toucanpeer.Report{Running: running, Queued: queued, Limit: limit}
-	now := r.clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	rep.Serving = r.server.Serving()
-	for _, p := range r.pressure {
-		if now.Sub(p.heard) < pressureTime {
-			rep.Pressure = max(rep.Pressure, p.load)
-		}
-	}
-	return rep
-}
-
-// NotePressure takes the load of a service that the server calls.
-func (r *Runner) NotePressure(service string, load float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p, now := r.pressure[service], r.clock.Now()
-	if now.Sub(p.heard) > pressureTime {
-		p.load = load
-	}
-	p.load += pressureGain * (load - p.load)
-	p.heard = now
-	r.pressure[service] = p
+	return toucanpeer.Report{Serving: r.Server().Serving(), Running: running, Queued: queued, Limit: limit}
 }
 
 // Run runs a call, at most once for each id. A repeated id waits for the first.
@@ -229,12 +198,26 @@
 	resp, err := r.exchange(ctx, s, c, began.Add(c.Left))
 	took := r.clock.Now().Sub(started)
 	r.gate.release(took, err == nil && !r.notRun(resp))
+	if resp != nil && resp.status == http.StatusMisdirectedRequest {
+		r.forgetServer(s)
+	}
 	res := r.outcome(resp, err)
 	r.log.Info("run", "request", c.ID, "route", c.Route, "instance", s.Instance, "outcome", string(res.Outcome), "reason", string(res.Reason),
 		"status", res.Status, "waited", started.Sub(began), "took", took, "err", errText(err))
 	return res
 }
 
+// forgetServer waits for the next heartbeat after another server answered at the
+// address.
+func (r *Runner) forgetServer(s Server) {
+	r.change(func(now Server) (Server, Verdict) {
+		if now.Instance != s.Instance || now.Born != s.Born {
+			return now, Late
+		}
+		return Server{}, Restarted
+	})
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -24,7 +24,7 @@
 const (
 	// maxTries bounds the nodes that are asked for one request. A node that
 	// refuses has not passed the request on.
-	maxTries = 4
+	maxTries = 6
 	// minLeft is the least time with which a request goes on.
 	minLeft = 2 * time.Millisecond
 	// retryAfterShare is the part of the latency objective after which a refused
@@ -87,7 +87,7 @@
 		version = q.table.Version
 	}
 	e.Metrics.Observe(route, resp.Status, took)
-	e.Log.Info("request", "request", q.id, "route", route, "version", version, "service", q.service, "child", r.Local,
+	e.Log.Info("request", "request", q.id, "route", route, "version", version, "service", q.service,
 		"status", resp.Status, "reason", string(q.reason), "offered", q.offered, "tries", q.tries, "node", q.node, "took", took)
 	return resp
 }
@@ -124,7 +124,7 @@
 // attempt sends the request to one node after the other until one answers.
 func (e *Entry) attempt(ctx context.Context, q *request) *toucanserve.Response {
 	var tried []string
-	arrived := 0 // backend servers that may have been sent the request
+	arrived, refused := 0, 0 // runs, and refusals by backend servers
 	for q.tries = 1; ; q.tries++ {
 		left := q.deadline.Sub(e.Clock.Now())
 		if left < minLeft || ctx.Err() != nil {
@@ -148,7 +148,8 @@
 			return e.pass(q, r)
 		case toucancall.NotRun:
 			if r.Reason == toucancall.ReasonBackendRefused {
-				arrived++
+				refused++
+				tried = tried[:len(tried)-1] // it may take the next one
 			}
 		default:
 			q.offered = true
@@ -157,20 +158,24 @@
 				return e.giveUp(q)
 			}
 		}
-		if q.tries >= maxTries || arrived >= q.route.MaxServers {
-			return e.giveUp(q)
-		}
-		if arrived > 0 && !e.Budget.Spend(q.service, e.Fleet.Size()) {
+		if q.tries >= maxTries || arrived+refused > 0 && !e.repeat(q, arrived) {
 			return e.giveUp(q)
 		}
 	}
 }
 
+// repeat reports whether a request that has reached some backend servers may be
+// sent to one more.
+func (e *Entry) repeat(q *request, arrived int) bool {
+	return (q.route.Repeatable || !q.offered) && q.tries < maxTries && arrived < q.route.MaxServers &&
+		e.Budget.Spend(q.service, e.Fleet.Size(), q.route.Priority == 0)
+}
+
 func (e *Entry) send(ctx context.Context, q *request, target toucanfleet.Target, left time.Duration) toucanpeer.Result {
 	c := &toucanpeer.Call{
 		ID: q.id, Service: q.service, Caller: e.Service(), Method: q.Method, URI: q.URI, Host: q.Host,
 		Header: q.header, Body: q.Body, Left: left, Target: q.route.Target, Priority: q.route.Priority,
-		Repeatable: q.route.Repeatable, Child: q.Local, Route: q.route.Name,
+		Repeatable: q.route.Repeatable, Route: q.route.Name,
 	}
 	began := e.Clock.Now()
 	var r toucanpeer.Result
@@ -180,9 +185,6 @@
 		r = target.Link.Run(ctx, c)
 	}
 	e.Fleet.Done(target, q.route.Name, e.Clock.Now().Sub(began), r)
-	if q.Local && r.Report.Limit > 0 {
-		e.Runner.NotePressure(q.service, max(r.Report.Load(), r.Report.Pressure))
-	}
 	return r
 }
 
--- a/toucanfleet/choose.go
+++ b/toucanfleet/choose.go
@@ -11,12 +11,14 @@
 const (
 	// nearLoad is the load up to which a member of the same data centre is
 	// preferred: bytes between data centres cost more than a short queue.
-	nearLoad = 0.8
+	nearLoad = 0.95
 	// nearFailures is the share of failures up to which it is preferred.
 	nearFailures = 0.15
 	// nearLatency is the part of the latency objective that the mean latency of
-	// a preferred member may take.
+	// a preferred member may take, with nearBytes more for each byte that a call
+	// would carry between data centres.
 	nearLatency = 0.5
+	nearBytes   = 1.0 / (10 << 10)
 	// farPenalty is the load by which a member of another data centre must be
 	// better.
 	farPenalty = 0.15
@@ -44,6 +46,9 @@
 	updated  time.Time
 }
 
+// bytesGain is the weight of a new response in the mean size of a route's calls.
+const bytesGain = 0.05
+
 // Target is a member that a call is sent to.
 type Target struct {
 	Node string
@@ -71,9 +76,10 @@
 		load := n.load()
 		s := n.currentStats(now)
 		latency := s.latency[route] / objective.Seconds()
+		tolerated := nearLatency + nearBytes*f.bytes[route]
 		score := load + failurePenalty*s.failures + latencyPenalty*latency + noise*rand.Float64()
 		if n.member.DataCentre == f.self.DataCentre {
-			if load < nearLoad && s.failures < nearFailures && latency < nearLatency && (near == nil || score < nearScore) {
+			if load < nearLoad && s.failures < nearFailures && latency < tolerated && (near == nil || score < nearScore) {
 				near, nearScore = n, score
 			}
 		} else {
@@ -138,6 +144,7 @@
 	}
 	n.stats.failures += statGain * (failed - n.stats.failures)
 	if failed == 0 {
+		f.bytes[route] += bytesGain * (float64(len(r.Body)) - f.bytes[route])
 		mean, known := n.stats.latency[route]
 		if !known {
 			mean = took.Seconds()
--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -3,6 +3,7 @@
 package toucanfleet
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 	log     *slog.Logger
 	hello   func() toucanpeer.Hello
 	version func() uint64
+	ping    func() toucanpeer.Ping
 	newer   func(version uint64, link *toucanpeer.Link)
 	local   Local
 
@@ -38,6 +40,7 @@
 	self      toucanpeer.Member
 	nodes     map[string]*node // by peer address
 	byService map[string][]*node
+	bytes     map[string]float64      // mean response size by route
 	told      func(toucanpeer.Member) // what another node knows of this one
 }
 
@@ -61,6 +64,7 @@
 	Log     *slog.Logger
 	Self    toucanpeer.Member
 	Hello   func() toucanpeer.Hello
+	Ping    func() toucanpeer.Ping
 	Version func() uint64
 	// Newer is told when a node has a newer document.
 	Newer func(version uint64, link *toucanpeer.Link)
@@ -72,8 +76,9 @@
 // New returns a fleet that knows only this node.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		clock: o.Clock, log: o.Log, hello: o.Hello, version: o.Version, newer: o.Newer, local: o.Local, told: o.Told,
+		clock: o.Clock, log: o.Log, hello: o.Hello, ping: o.Ping, version: o.Version, newer: o.Newer, local: o.Local, told: o.Told,
 		self: o.Self, nodes: make(map[string]*node), byService: make(map[string][]*node),
+		bytes: make(map[string]float64),
 	}
 	n := &node{up: true, listed: true}
 	f.nodes[o.Self.Address] = n
@@ -141,6 +146,27 @@
 	n.seen = f.clock.Now()
 }
 
+// Announce tells the connected nodes how this one is now. It returns when one of
+// them has heard it, or false when none did before ctx ended.
+func (f *Fleet) Announce(ctx context.Context) bool {
+	f.mu.Lock()
+	heard := make(chan bool, len(f.nodes))
+	links := 0
+	for _, n := range f.nodes {
+		if n.link != nil && n.up {
+			links++
+			go func() { heard <- n.link.Announce(ctx) }()
+		}
+	}
+	f.mu.Unlock()
+	for range links {
+		if <-heard {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns all known members.
 func (f *Fleet) Members() []toucanpeer.Member {
 	f.mu.Lock()
@@ -195,7 +221,7 @@
 // add creates the node of a member and its link. mu is held.
 func (f *Fleet) add(m toucanpeer.Member) *node {
 	n := &node{seen: f.clock.Now()}
-	n.link = toucanpeer.NewLink(m.Address, f.hello, f.version, f)
+	n.link = toucanpeer.NewLink(m.Address, f.hello, f.ping, f)
 	f.nodes[m.Address] = n
 	f.setMember(n, m)
 	f.log.Info("member added", "node", m.Node, "address", m.Address, "service", m.Service)
--- a/toucanmesh/config.go
+++ b/toucanmesh/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,8 +12,13 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change.
-	watchWait = 15 * time.Second
+	// watchRate is how many watches all nodes together start a second. A store
+	// that drops its history may leave a watch without an answer, so that a
+	// change is heard from the next watch that any node starts.
+	watchRate = 2
+	// minWatch and maxWatch bound the wait of one watch.
+	minWatch = time.Second
+	maxWatch = 15 * time.Second
 	// watchPause is the pause after a watch or a list failed.
 	watchPause = 250 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration from another node.
@@ -123,7 +129,7 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		l, err := n.store.Watch(ctx, prefix, after, watchWait)
+		l, err := n.store.Watch(ctx, prefix, after, n.watchWait())
 		switch {
 		case err == nil:
 			event(l)
@@ -139,6 +145,13 @@
 	}
 }
 
+// watchWait spreads the watches of all nodes over time.
+func (n *Node) watchWait() time.Duration {
+	wait := time.Duration(n.fleet.Size()) * time.Second / watchRate
+	wait = min(max(wait, minWatch), maxWatch)
+	return time.Duration(float64(wait) * (0.5 + rand.Float64()))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -12,6 +12,9 @@
 
 // Run runs a call at the backend server beside this node.
 func (h *host) Run(ctx context.Context, c *toucanpeer.Call) toucanpeer.Result {
+	if h.leaving.Load() {
+		return h.stamp(toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonLeaving, Report: h.runner.Report()})
+	}
 	return h.stamp(h.runner.Run(ctx, c))
 }
 
@@ -42,8 +45,9 @@
 	return reply
 }
 
-// Ping answers a probe.
-func (h *host) Ping(toucanpeer.Ping) toucanpeer.Pong {
+// Ping takes the state of another node and answers with this one's.
+func (h *host) Ping(p toucanpeer.Ping) toucanpeer.Pong {
+	h.fleet.Reported(p.From.Address, &p.From, p.Report)
 	return toucanpeer.Pong{Self: (*Node)(h).self(), Report: h.Report()}
 }
 
@@ -58,6 +62,6 @@
 // stamp adds to a report what the runner does not know.
 func (h *host) stamp(r toucanpeer.Result) toucanpeer.Result {
 	r.Report.Version = (*Node)(h).version()
-	r.Report.Serving = r.Report.Serving && !h.stopping.Load()
+	r.Report.Serving = r.Report.Serving && !h.leaving.Load()
 	return r
 }
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -53,6 +53,7 @@
 	heartbeats int
 	last       toucanbackend.Heartbeat
 	departed   toucanpeer.Member // backend server that has left
+	recorded   departure         // newest one that is remembered elsewhere
 }
 
 // departure is the record of a backend server that leaves.
@@ -67,7 +68,7 @@
 	m := toucanpeer.Member{
 		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre, Service: s.Service,
 		Instance: b.Instance, Born: b.Born, Slots: b.Slots, Left: b.Left,
-		Serving: b.Serving() && !n.stopping.Load(),
+		Serving: b.Serving() && !n.leaving.Load(),
 	}
 	if b.Instance != "" {
 		m.Service = b.Service
@@ -91,6 +92,11 @@
 func (n *Node) changed() {
 	n.fleet.SetSelf(n.self())
 	signal(n.member.kick)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), markTimeout)
+		defer cancel()
+		n.fleet.Announce(ctx)
+	}()
 }
 
 // Heartbeat takes a heartbeat of the backend server. A departure is recorded
@@ -109,8 +115,7 @@
 	if !n.admit(&h) {
 		return nil
 	}
-	n.observe(h)
-	return nil
+	return n.observe(h)
 }
 
 // admit holds heartbeats back until a departure before this start would be
@@ -132,16 +137,15 @@
 	return n.startup.settled || h.State == toucanbackend.Draining
 }
 
-func (n *Node) observe(h toucanbackend.Heartbeat) {
-	left := n.runner.Server().Left
-	verdict := n.runner.Observe(h)
-	if verdict == toucanbackend.Late {
+func (n *Node) observe(h toucanbackend.Heartbeat) error {
+	if n.runner.Observe(h) == toucanbackend.Late {
 		n.log.Info("late heartbeat", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence, "state", string(h.State))
-		return
+		return nil
 	}
-	if h.State == toucanbackend.Draining && (!left || verdict == toucanbackend.Restarted) {
-		n.recordDeparture(h.Instance, h.Born)
+	if h.State == toucanbackend.Draining {
+		return n.recordDeparture(h.Instance, h.Born)
 	}
+	return nil
 }
 
 // Leave takes the message of a backend server that is gone.
@@ -150,15 +154,31 @@
 		n.log.Info("departure of another server", "instance", instance, "born", born)
 		return nil
 	}
-	n.recordDeparture(instance, n.runner.Server().Born)
-	return nil
+	return n.recordDeparture(instance, n.runner.Server().Born)
 }
 
-func (n *Node) recordDeparture(instance string, born int64) {
+// recordDeparture makes the store or another node remember the departure. It
+// fails when neither does; the departure must not be acknowledged then.
+func (n *Node) recordDeparture(instance string, born int64) error {
+	d := departure{Instance: instance, Born: born}
+	n.startup.mu.Lock()
+	recorded := n.startup.recorded == d
+	n.startup.mu.Unlock()
+	if recorded {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), markTimeout)
 	defer cancel()
-	err := n.writeDeparture(ctx, departure{Instance: instance, Born: born})
-	n.log.Info("departure", "instance", instance, "born", born, "recorded", err == nil, "err", err)
+	err := n.writeDeparture(ctx, d)
+	heard := err != nil && n.fleet.Announce(context.WithoutCancel(ctx))
+	n.log.Info("departure", "instance", instance, "born", born, "stored", err == nil, "heard", heard, "err", err)
+	if err != nil && !heard {
+		return fmt.Errorf("record the departure: %w", err)
+	}
+	n.startup.mu.Lock()
+	n.startup.recorded = d
+	n.startup.mu.Unlock()
+	return nil
 }
 
 func (n *Node) writeDeparture(ctx context.Context, d departure) error {
@@ -181,6 +201,7 @@
 		switch {
 		case errors.Is(err, toucanstore.ErrNotFound):
 			n.settle(toucanpeer.Member{}, "store")
+			n.resume(ctx)
 			return
 		case err == nil:
 			var d departure
@@ -198,6 +219,31 @@
 	}
 }
 
+// resume takes up the backend server that an earlier start of this node served,
+// instead of waiting for its next heartbeat. A departure would have been
+// recorded, and a server that was replaced refuses the calls for this one.
+func (n *Node) resume(ctx context.Context) {
+	s := n.settings.Load()
+	item, err := n.store.Get(ctx, memberPrefix+s.Node)
+	if err != nil {
+		if !errors.Is(err, toucanstore.ErrNotFound) {
+			n.log.Warn("own member not read", "err", err)
+		}
+		return
+	}
+	n.member.mu.Lock()
+	n.member.revision = item.Revision
+	n.member.mu.Unlock()
+	m, ok := n.decodeMember(item)
+	if !ok || m.Instance == "" || m.Left || m.Service != s.Service || n.runner.Server().Instance != "" {
+		return
+	}
+	n.log.Info("resume", "instance", m.Instance, "born", m.Born, "revision", item.Revision)
+	n.runner.Observe(toucanbackend.Heartbeat{
+		Instance: m.Instance, Service: m.Service, Address: s.BackendAddress, Slots: m.Slots, State: toucanbackend.Ready, Born: m.Born,
+	})
+}
+
 // told takes what another node knows of this one.
 func (n *Node) told(m toucanpeer.Member) {
 	switch {
@@ -230,7 +276,9 @@
 	}
 	n.log.Info("departures known", "source", source, "departed", departed.Instance)
 	if count > 0 && n.admit(&held) {
-		n.observe(held)
+		if err := n.observe(held); err != nil {
+			n.log.Warn("held heartbeat failed", "err", err)
+		}
 	}
 }
 
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -28,13 +28,18 @@
 const (
 	// bufferShare is the part of the memory that request bodies may take.
 	bufferShare = 0.25
-	// stopIdle is how long a stopping node must have been idle before it ends,
-	// and stopMin the least time it serves on: the platform asks for readiness
-	// once a second and takes a node out after two misses.
-	stopIdle = 300 * time.Millisecond
-	stopMin  = 2500 * time.Millisecond
+	// stopIdle is how long a stopping node must have been idle before it goes on,
+	// and stopMin the least time it serves callers: the platform asks for
+	// readiness once a second and takes a node out after two misses.
+	stopIdle = 200 * time.Millisecond
+	stopMin  = 2200 * time.Millisecond
+	stopPoll = 20 * time.Millisecond
+	// leaveMin is the time that other nodes get to hear that this one leaves, and
+	// leaveMax the part of the grace time that is kept for their last calls.
+	leaveMin = 300 * time.Millisecond
+	leaveMax = 1500 * time.Millisecond
 	// stopReserve is the part of the grace time that is left for ending.
-	stopReserve = 400 * time.Millisecond
+	stopReserve = 800 * time.Millisecond
 	// settingsPoll is the time between looks at the settings file, which may
 	// change without a signal.
 	settingsPoll = time.Second
@@ -86,7 +91,8 @@
 	startup startup
 	metrics *meter
 
-	stopping  atomic.Bool
+	stopping  atomic.Bool // callers are sent elsewhere
+	leaving   atomic.Bool // other nodes are sent elsewhere too
 	stop      chan struct{}
 	listeners []net.Listener
 	tasks     sync.WaitGroup
@@ -104,6 +110,7 @@
 	n.config.kick, n.member.watchKick = make(chan struct{}, 1), make(chan struct{}, 1)
 	n.fleet = toucanfleet.New(toucanfleet.Options{
 		Clock: o.Clock, Log: o.Log, Self: n.self(), Hello: n.hello, Version: n.version,
+		Ping:  func() toucanpeer.Ping { return toucanpeer.Ping{From: n.self(), Report: (*host)(n).Report()} },
 		Newer: n.fetchConfig, Told: n.told, Local: (*host)(n),
 	})
 	n.entry = &toucanentry.Entry{
@@ -188,26 +195,19 @@
 // Ready reports whether callers may be sent to this node.
 func (n *Node) Ready() bool { return !n.stopping.Load() && n.entry.Table.Load() != nil }
 
-// Stop ends the node in order: callers are sent elsewhere, requests in progress
-// end, then the member is removed. It takes at most the grace time.
+// Stop ends the node in order: callers are sent elsewhere while the backend
+// server goes on working for other nodes, then those are sent elsewhere too.
+// It takes at most the grace time.
 func (n *Node) Stop() {
-	s := n.settings.Load()
 	began := n.clock.Now()
-	deadline := began.Add(s.Grace.Duration - stopReserve)
-	n.log.Info("stop", "active", n.server.Active())
+	end := began.Add(n.settings.Load().Grace.Duration - stopReserve)
+	n.log.Info("stop", "active", n.server.Active(), "running", n.running())
 	n.stopping.Store(true)
 	n.server.Drain()
+	n.awaitIdle(stopMin, end.Add(-leaveMax), func() bool { return n.server.Active() == 0 })
+	n.leaving.Store(true)
 	n.changed()
-	idleSince := began
-	for now := began; now.Before(deadline); now = n.clock.Now() {
-		if n.server.Active() > 0 || n.running() > 0 {
-			idleSince = now
-		}
-		if now.Sub(idleSince) >= stopIdle && now.Sub(began) >= stopMin {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	n.awaitIdle(leaveMin, end, func() bool { return n.server.Active() == 0 && n.running() == 0 })
 	n.log.Info("stopped", "active", n.server.Active(), "running", n.running(), "took", n.clock.Now().Sub(began))
 	n.unregister()
 	close(n.stop)
@@ -216,6 +216,22 @@
 	}
 }
 
+// awaitIdle waits until the node has been idle for some time and at least the
+// minimum has passed, or until the end.
+func (n *Node) awaitIdle(atLeast time.Duration, end time.Time, idle func() bool) {
+	began := n.clock.Now()
+	since := began
+	for now := began; now.Before(end); now = n.clock.Now() {
+		if !idle() {
+			since = now
+		}
+		if now.Sub(since) >= stopIdle && now.Sub(began) >= atLeast {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
 func (n *Node) running() int {
 	r := n.runner.Report()
 	return r.Running + r.Queued
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -42,7 +42,7 @@
 type Link struct {
 	addr     string
 	hello    func() Hello
-	version  func() uint64
+	ping     func() Ping
 	observer Observer
 
 	mu          sync.Mutex
@@ -54,14 +54,13 @@
 	nextDial    time.Time
 	closed      bool
 
-	pending  atomic.Int64
-	probing  atomic.Bool
-	lastPing atomic.Int64 // Unix nanoseconds of the steady reading
+	pending atomic.Int64
+	probing atomic.Bool
 }
 
 // NewLink returns a link that is not connected yet; see Tick.
-func NewLink(addr string, hello func() Hello, version func() uint64, o Observer) *Link {
-	return &Link{addr: addr, hello: hello, version: version, observer: o}
+func NewLink(addr string, hello func() Hello, ping func() Ping, o Observer) *Link {
+	return &Link{addr: addr, hello: hello, ping: ping, observer: o}
 }
 
 // Up reports whether the link is connected.
@@ -106,16 +105,27 @@
 var errSilent = errors.New("no answer to a probe")
 
 func (l *Link) probe(client *rpc.Client) {
-	l.probing.Store(true)
+	if !l.probing.CompareAndSwap(false, true) {
+		return
+	}
 	go func() {
 		defer l.probing.Store(false)
 		var pong Pong
-		if client.Call(methodPing, Ping{Version: l.version()}, &pong) == nil {
+		if client.Call(methodPing, l.ping(), &pong) == nil {
 			l.observer.Reported(l.addr, &pong.Self, pong.Report)
 		}
 	}()
 }
 
+// Announce tells the node how this one is now. It reports whether the node has
+// heard it before ctx ends.
+func (l *Link) Announce(ctx context.Context) bool {
+	l.mu.Lock()
+	client := l.client
+	l.mu.Unlock()
+	return client != nil && call(ctx, client, methodPing, l.ping(), new(Pong)) == nil
+}
+
 // redial starts a connection attempt unless one is in progress or the pause
 // after the last one has not passed.
 func (l *Link) redial(now time.Time) <-chan struct{} {
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -22,7 +22,6 @@
 	Target     time.Duration // latency objective
 	Priority   int           // 0 is served first
 	Repeatable bool
-	Child      bool // made by a backend server during a run
 	Route      string
 }
 
@@ -38,20 +37,11 @@
 
 // Report is the state of a node and of the backend server beside it.
 type Report struct {
-	Serving  bool
-	Running  int
-	Queued   int
-	Limit    int     // concurrent calls that the backend server takes
-	Pressure float64 // highest load of the services that the backend server calls
-	Version  uint64  // version of the document in force at the node
-}
-
-// Load returns running and queued calls as a share of the limit.
-func (r Report) Load() float64 {
-	if r.Limit <= 0 {
-		return 0
-	}
-	return float64(r.Running+r.Queued) / float64(r.Limit)
+	Serving bool
+	Running int
+	Queued  int
+	Limit   int    // concurrent calls that the backend server takes
+	Version uint64 // version of the document in force at the node
 }
 
 // Member describes a node and the backend server beside it.
@@ -83,9 +73,10 @@
 	You         Member // what the node knows of the sender; empty when nothing
 }
 
-// Ping carries the sender's version of the document.
+// Ping describes the sender.
 type Ping struct {
-	Version uint64
+	From   Member
+	Report Report
 }
 
 // Pong is the answer to a Ping.
--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -13,8 +13,10 @@
 	// ratioShare and slackShare are the parts of the shared budget that nodes
 	// spend. The rest covers what one node cannot see: the calls of repeated runs
 	// and nodes that restart.
-	ratioShare = 0.6
+	ratioShare = 0.7
 	slackShare = 0.5
+	// plainShare is the part that requests which are not urgent may spend.
+	plainShare = 0.5
 )
 
 // Budget bounds the repeats that a node sends to each service, as its part of a
@@ -53,8 +55,9 @@
 
 // Spend takes one repeat and reports whether there was one. nodes is the number
 // of nodes that share the fixed part. In its first window a node takes none of
-// that part, because an earlier start of it may have spent it.
-func (b *Budget) Spend(service string, nodes int) bool {
+// that part, because an earlier start of it may have spent it. Requests that are
+// not urgent leave a part of the budget to those that are.
+func (b *Budget) Spend(service string, nodes int, urgent bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(service)
@@ -67,6 +70,9 @@
 	if b.clock.Now().Sub(b.began) >= b.window {
 		allowed += slackShare * b.slack / float64(max(1, nodes))
 	}
+	if !urgent {
+		allowed *= plainShare
+	}
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/toucanserve/conn.go
+++ b/toucanserve/conn.go
@@ -41,7 +41,6 @@
 	budget int // bytes that may still be read of a header
 	ctx    context.Context
 	cancel context.CancelFunc
-	local  bool
 
 	last chan struct{} // closed when the newest request was answered
 
@@ -112,7 +111,7 @@
 	path, _, _ := strings.Cut(hr.RequestURI, "?")
 	r := &Request{
 		Method: hr.Method, URI: hr.RequestURI, Path: path, Host: hr.Host,
-		Header: hr.Header, Body: body, Arrived: arrived, Local: c.local,
+		Header: hr.Header, Body: body, Arrived: arrived,
 	}
 	return c.start(r, hr.Close)
 }
--- a/toucanserve/server.go
+++ b/toucanserve/server.go
@@ -24,7 +24,6 @@
 	Header  http.Header
 	Body    []byte
 	Arrived time.Time
-	Local   bool // sent from the address of this VM
 }
 
 // Response is a whole response. A nil Response closes the connection.
@@ -89,7 +88,7 @@
 
 func (s *Server) newConn(nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel, local: sameHost(nc)}
+	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel}
 	c.r.Reset(&meteredReader{c: c})
 	c.last = closedChan
 	s.mu.Lock()
@@ -107,12 +106,6 @@
 	s.mu.Unlock()
 }
 
-func sameHost(nc net.Conn) bool {
-	local, ok1 := nc.LocalAddr().(*net.TCPAddr)
-	remote, ok2 := nc.RemoteAddr().(*net.TCPAddr)
-	return ok1 && ok2 && local.IP.Equal(remote.IP)
-}
-
 var closedChan = func() chan struct{} {
 	c := make(chan struct{})
 	close(c)
