--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -12,6 +12,7 @@
 	"toucanhaven/toucanclock"
 	"toucanhaven/toucanconn"
 	"toucanhaven/toucanpeer"
+	"toucanhaven/toucanretry"
 )
 
 // HeaderNames are the header fields of requests and responses that the nodes
@@ -43,6 +44,9 @@
 	pool  *toucanconn.Pool
 	gate  gate
 
+	repeats  *toucanretry.Budget
+	siblings func(service string) int
+
 	mu       sync.Mutex
 	server   Server
 	runs     map[string]*run
@@ -56,12 +60,24 @@
 	result toucanpeer.Result
 }
 
-// NewRunner returns a runner that knows no backend server. onChange is told
-// when the server starts or stops taking calls.
-func NewRunner(names HeaderNames, clock toucanclock.Clock, log *slog.Logger, onChange func(Server)) *Runner {
+// Options are what a runner needs of its node.
+type Options struct {
+	Names HeaderNames
+	Clock toucanclock.Clock
+	Log   *slog.Logger
+	// Repeats bounds the repeats of calls that reached the server.
+	Repeats *toucanretry.Budget
+	// Siblings returns the number of nodes that serve a service.
+	Siblings func(service string) int
+	// OnChange is told when the server starts or stops taking calls.
+	OnChange func(Server)
+}
+
+// NewRunner returns a runner that knows no backend server.
+func NewRunner(o Options) *Runner {
 	return &Runner{
-		names: names, clock: clock, log: log, onChange: onChange,
-		pool: toucanconn.NewPool(maxIdle, clock.Now),
+		names: o.Names, clock: o.Clock, log: o.Log, onChange: o.OnChange, repeats: o.Repeats, siblings: o.Siblings,
+		pool: toucanconn.NewPool(maxIdle, o.Clock.Now),
 		runs: make(map[string]*run),
 	}
 }
@@ -195,6 +211,9 @@
 	if !c.Repeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
+	if !c.Repeat {
+		r.repeats.Count(c.Service)
+	}
 	resp, err := r.exchange(ctx, s, c, began.Add(c.Left))
 	took := r.clock.Now().Sub(started)
 	r.gate.release(took, err == nil && !r.notRun(resp))
@@ -202,8 +221,11 @@
 		r.forgetServer(s)
 	}
 	res := r.outcome(resp, err)
+	if res.Outcome != toucancall.Answered && (c.Repeatable || res.Outcome == toucancall.NotRun) {
+		res.MayRepeat = r.repeats.Spend(c.Service, r.siblings(c.Service), c.Priority == 0)
+	}
 	r.log.Info("run", "request", c.ID, "route", c.Route, "instance", s.Instance, "outcome", string(res.Outcome), "reason", string(res.Reason),
-		"status", res.Status, "waited", started.Sub(began), "took", took, "err", errText(err))
+		"status", res.Status, "repeat", c.Repeat, "may_repeat", res.MayRepeat, "waited", started.Sub(began), "took", took, "err", errText(err))
 	return res
 }
 
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -47,8 +47,8 @@
 	Fleet    *toucanfleet.Fleet
 	Runner   *toucanbackend.Runner
 	Splitter *toucanroute.Splitter
-	Budget   *toucanretry.Budget
-	Service  func() string // service of this VM
+	Budget   *toucanretry.Budget // repeats of calls whose node was lost
+	Service  func() string       // service of this VM
 	Table    atomic.Pointer[toucanroute.Table]
 	Metrics  Metrics
 }
@@ -68,7 +68,9 @@
 	deadline time.Time
 	header   []string
 	tries    int
-	offered  bool // a backend server may have been sent the request
+	offered  bool // a backend server may have run the request
+	arrived  bool // a backend server may have been sent the request
+	runs     int  // backend servers that may have run it
 	node     string
 	reason   toucancall.Reason
 }
@@ -124,7 +126,6 @@
 // attempt sends the request to one node after the other until one answers.
 func (e *Entry) attempt(ctx context.Context, q *request) *toucanserve.Response {
 	var tried []string
-	arrived, refused := 0, 0 // runs, and refusals by backend servers
 	for q.tries = 1; ; q.tries++ {
 		left := q.deadline.Sub(e.Clock.Now())
 		if left < minLeft || ctx.Err() != nil {
@@ -138,44 +139,46 @@
 			}
 			return e.giveUp(q)
 		}
-		tried = append(tried, target.Address())
 		q.node = target.Node
 		r := e.send(ctx, q, target, left)
 		q.reason = r.Reason
-		switch r.Outcome {
-		case toucancall.Answered:
+		if r.Outcome == toucancall.Answered {
 			q.offered = true
 			return e.pass(q, r)
-		case toucancall.NotRun:
-			if r.Reason == toucancall.ReasonBackendRefused {
-				refused++
-				tried = tried[:len(tried)-1] // it may take the next one
-			}
-		default:
-			q.offered = true
-			arrived++
-			if !q.route.Repeatable {
-				return e.giveUp(q)
-			}
 		}
-		if q.tries >= maxTries || arrived+refused > 0 && !e.repeat(q, arrived) {
+		if q.tries >= maxTries || !e.again(q, r) {
 			return e.giveUp(q)
 		}
+		if r.Reason != toucancall.ReasonBackendRefused { // which may take the next one
+			tried = append(tried, target.Address())
+		}
 	}
 }
 
-// repeat reports whether a request that has reached some backend servers may be
-// sent to one more.
-func (e *Entry) repeat(q *request, arrived int) bool {
-	return (q.route.Repeatable || !q.offered) && q.tries < maxTries && arrived < q.route.MaxServers &&
-		e.Budget.Spend(q.service, e.Fleet.Size(), q.route.Priority == 0)
+// again reports whether a request that got no answer may be sent once more. A
+// node that refused it itself has not passed it on; the other cases are repeats
+// at a backend server.
+func (e *Entry) again(q *request, r toucanpeer.Result) bool {
+	if r.Outcome == toucancall.NotRun {
+		if r.Reason != toucancall.ReasonBackendRefused {
+			return true
+		}
+		q.arrived = true
+		return r.MayRepeat
+	}
+	q.offered, q.arrived = true, true
+	q.runs++
+	if !q.route.Repeatable || q.runs >= q.route.MaxServers {
+		return false
+	}
+	return r.MayRepeat || r.Report.Limit == 0 && e.Budget.Spend(q.service, e.Fleet.Size(), q.route.Priority == 0)
 }
 
 func (e *Entry) send(ctx context.Context, q *request, target toucanfleet.Target, left time.Duration) toucanpeer.Result {
 	c := &toucanpeer.Call{
 		ID: q.id, Service: q.service, Caller: e.Service(), Method: q.Method, URI: q.URI, Host: q.Host,
 		Header: q.header, Body: q.Body, Left: left, Target: q.route.Target, Priority: q.route.Priority,
-		Repeatable: q.route.Repeatable, Route: q.route.Name,
+		Repeatable: q.route.Repeatable, Repeat: q.arrived, Route: q.route.Name,
 	}
 	began := e.Clock.Now()
 	var r toucanpeer.Result
--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -18,7 +18,7 @@
 	// at its address.
 	unlistedTime = 20 * time.Second
 	// tickTime is the time between looks at the links.
-	tickTime = 100 * time.Millisecond
+	tickTime = 50 * time.Millisecond
 )
 
 // Local runs calls at the backend server beside this node.
@@ -40,8 +40,8 @@
 	self      toucanpeer.Member
 	nodes     map[string]*node // by peer address
 	byService map[string][]*node
-	bytes     map[string]float64      // mean response size by route
-	told      func(toucanpeer.Member) // what another node knows of this one
+	bytes     map[string]float64                     // mean response size by route
+	told      func(addr string, m toucanpeer.Member) // what another node knows of this one
 }
 
 // node is one member as this node knows it.
@@ -69,7 +69,7 @@
 	// Newer is told when a node has a newer document.
 	Newer func(version uint64, link *toucanpeer.Link)
 	// Told is told what another node knows of this one.
-	Told  func(toucanpeer.Member)
+	Told  func(addr string, m toucanpeer.Member)
 	Local Local
 }
 
@@ -188,6 +188,19 @@
 	return toucanpeer.Member{}
 }
 
+// Serving returns the number of members of a service that take calls.
+func (f *Fleet) Serving(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count, now := 0, f.clock.Now()
+	for _, n := range f.byService[service] {
+		if f.usable(n, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Size returns the number of nodes that are listed or connected, this one
 // included.
 func (f *Fleet) Size() int {
@@ -276,7 +289,7 @@
 	}
 	f.mu.Unlock()
 	f.log.Info("peer connected", "node", reply.Self.Node, "address", addr, "version", reply.Report.Version)
-	f.told(reply.You)
+	f.told(addr, reply.You)
 	f.checkVersion(reply.Report, link)
 }
 
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -54,6 +54,9 @@
 	last       toucanbackend.Heartbeat
 	departed   toucanpeer.Member // backend server that has left
 	recorded   departure         // newest one that is remembered elsewhere
+	witness    toucanpeer.Member // what a node said of this one
+
+	witnessAddr string
 }
 
 // departure is the record of a backend server that leaves.
@@ -234,26 +237,44 @@
 	n.member.mu.Lock()
 	n.member.revision = item.Revision
 	n.member.mu.Unlock()
-	m, ok := n.decodeMember(item)
-	if !ok || m.Instance == "" || m.Left || m.Service != s.Service || n.runner.Server().Instance != "" {
-		return
+	if m, ok := n.decodeMember(item); ok {
+		n.takeUp(m)
 	}
-	n.log.Info("resume", "instance", m.Instance, "born", m.Born, "revision", item.Revision)
-	n.runner.Observe(toucanbackend.Heartbeat{
-		Instance: m.Instance, Service: m.Service, Address: s.BackendAddress, Slots: m.Slots, State: toucanbackend.Ready, Born: m.Born,
-	})
 }
 
-// told takes what another node knows of this one.
-func (n *Node) told(m toucanpeer.Member) {
+// told takes what another node knows of this one. While the store does not
+// answer, the backend server is taken up again when two nodes agree.
+func (n *Node) told(addr string, m toucanpeer.Member) {
 	switch {
 	case m.Left:
 		n.settle(m, "peer")
-	case m.Instance != "":
+	case m.Instance != "" && n.witness(addr, m):
 		n.settle(toucanpeer.Member{}, "peer")
+		n.takeUp(m)
 	}
 }
 
+// witness reports whether another node said the same before.
+func (n *Node) witness(addr string, m toucanpeer.Member) bool {
+	n.startup.mu.Lock()
+	defer n.startup.mu.Unlock()
+	same := n.startup.witness.Instance == m.Instance && n.startup.witness.Born == m.Born && n.startup.witnessAddr != addr
+	n.startup.witness, n.startup.witnessAddr = m, addr
+	return same && n.startup.departed.Instance != m.Instance
+}
+
+// takeUp uses a backend server without waiting for its next heartbeat.
+func (n *Node) takeUp(m toucanpeer.Member) {
+	s := n.settings.Load()
+	if m.Instance == "" || m.Left || m.Service != s.Service || n.runner.Server().Instance != "" {
+		return
+	}
+	n.log.Info("resume", "instance", m.Instance, "born", m.Born)
+	n.runner.Observe(toucanbackend.Heartbeat{
+		Instance: m.Instance, Service: m.Service, Address: s.BackendAddress, Slots: m.Slots, State: toucanbackend.Ready, Born: m.Born,
+	})
+}
+
 func (n *Node) isSettled() bool {
 	n.startup.mu.Lock()
 	defer n.startup.mu.Unlock()
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -28,15 +28,22 @@
 const (
 	// bufferShare is the part of the memory that request bodies may take.
 	bufferShare = 0.25
+	// Parts of the shared retry budget: the node beside a backend server sees all
+	// requests for it and grants most repeats; an entry whose node was lost has
+	// to decide alone. The rest covers the calls of repeated runs.
+	backendRatioShare = 0.6
+	backendSlackShare = 0.4
+	entryRatioShare   = 0.2
+	entrySlackShare   = 0.2
 	// stopIdle is how long a stopping node must have been idle before it goes on,
 	// and stopMin the least time it serves callers: the platform asks for
 	// readiness once a second and takes a node out after two misses.
-	stopIdle = 200 * time.Millisecond
+	stopIdle = 100 * time.Millisecond
 	stopMin  = 2200 * time.Millisecond
 	stopPoll = 20 * time.Millisecond
 	// leaveMin is the time that other nodes get to hear that this one leaves, and
 	// leaveMax the part of the grace time that is kept for their last calls.
-	leaveMin = 300 * time.Millisecond
+	leaveMin = 200 * time.Millisecond
 	leaveMax = 1500 * time.Millisecond
 	// stopReserve is the part of the grace time that is left for ending.
 	stopReserve = 800 * time.Millisecond
@@ -105,7 +112,11 @@
 		incarnation: rand.Uint64(), stop: make(chan struct{}), metrics: newMeter(),
 	}
 	n.settings.Store(&o.Settings)
-	n.runner = toucanbackend.NewRunner(o.Dialect.Headers, o.Clock, o.Log, n.backendChanged)
+	n.runner = toucanbackend.NewRunner(toucanbackend.Options{
+		Names: o.Dialect.Headers, Clock: o.Clock, Log: o.Log, OnChange: n.backendChanged,
+		Repeats:  n.repeatBudget(backendRatioShare, backendSlackShare),
+		Siblings: func(service string) int { return n.fleet.Serving(service) },
+	})
 	n.member.kick = make(chan struct{}, 1)
 	n.config.kick, n.member.watchKick = make(chan struct{}, 1), make(chan struct{}, 1)
 	n.fleet = toucanfleet.New(toucanfleet.Options{
@@ -116,7 +127,7 @@
 	n.entry = &toucanentry.Entry{
 		Names: o.Dialect.Headers, Clock: o.Clock, Log: o.Log, Fleet: n.fleet, Runner: n.runner,
 		Splitter: toucanroute.NewSplitter(),
-		Budget:   toucanretry.NewBudget(o.Clock, o.Settings.RetryWindow.Duration, o.Settings.RetryRatio, o.Settings.RetrySlack),
+		Budget:   n.repeatBudget(entryRatioShare, entrySlackShare),
 		Service:  func() string { return n.settings.Load().Service },
 		Metrics:  n.metrics,
 	}
@@ -127,6 +138,12 @@
 	return n, nil
 }
 
+// repeatBudget returns parts of the budget that all nodes share.
+func (n *Node) repeatBudget(ratioShare, slackShare float64) *toucanretry.Budget {
+	s := n.settings.Load()
+	return toucanretry.NewBudget(n.clock, s.RetryWindow.Duration, ratioShare*s.RetryRatio, slackShare*s.RetrySlack)
+}
+
 // Start listens and serves. It fails when an address cannot be listened on.
 func (n *Node) Start() (err error) {
 	defer func() {
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -19,8 +19,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// quietTime is the silence after which a link with calls in progress is
 	// probed, and silentTime the one after which it is given up.
-	quietTime  = 200 * time.Millisecond
-	silentTime = 600 * time.Millisecond
+	quietTime  = 100 * time.Millisecond
+	silentTime = 350 * time.Millisecond
 	// idlePing is the time between probes of a link without calls.
 	idlePing = time.Second
 	// redialMin and redialMax bound the pause between connection attempts.
@@ -28,7 +28,7 @@
 	redialMax = time.Second
 	// lostTime is how long a call that may be repeated waits for its outcome
 	// after its connection broke.
-	lostTime = 500 * time.Millisecond
+	lostTime = 150 * time.Millisecond
 )
 
 // Observer is told what a link learns.
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -22,6 +22,7 @@
 	Target     time.Duration // latency objective
 	Priority   int           // 0 is served first
 	Repeatable bool
+	Repeat     bool // an earlier attempt has reached a backend server
 	Route      string
 }
 
@@ -32,7 +33,10 @@
 	Status  int
 	Header  []string // pairs of key and value, end-to-end fields
 	Body    []byte
-	Report  Report
+	// MayRepeat says that a call which reached the backend server without an
+	// answer may be sent to a backend server once more.
+	MayRepeat bool
+	Report    Report
 }
 
 // Report is the state of a node and of the backend server beside it.
--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -10,11 +10,6 @@
 const (
 	// budgetSlots divides the window of a budget.
 	budgetSlots = 10
-	// ratioShare and slackShare are the parts of the shared budget that nodes
-	// spend. The rest covers what one node cannot see: the calls of repeated runs
-	// and nodes that restart.
-	ratioShare = 0.7
-	slackShare = 0.5
 	// plainShare is the part that requests which are not urgent may spend.
 	plainShare = 0.5
 )
@@ -40,7 +35,7 @@
 }
 
 // NewBudget returns a budget of ratio times the requests of a window plus
-// slack, over all nodes.
+// slack, over all nodes. It is safe to give parts of one budget to several.
 func NewBudget(clock toucanclock.Clock, window time.Duration, ratio, slack float64) *Budget {
 	return &Budget{clock: clock, window: window, ratio: ratio, slack: slack, began: clock.Now(), services: make(map[string]*budgetWindow)}
 }
@@ -66,9 +61,9 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := ratioShare * b.ratio * float64(requests)
+	allowed := b.ratio * float64(requests)
 	if b.clock.Now().Sub(b.began) >= b.window {
-		allowed += slackShare * b.slack / float64(max(1, nodes))
+		allowed += b.slack / float64(max(1, nodes))
 	}
 	if !urgent {
 		allowed *= plainShare
