--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -49,6 +49,7 @@
 
 	mu       sync.Mutex
 	server   Server
+	failures decayingShare
 	runs     map[string]*run
 	onChange func(Server)
 }
@@ -126,7 +127,12 @@
 // Report describes the load of the server.
 func (r *Runner) Report() toucanpeer.Report {
 	running, queued, limit := r.gate.load()
-	return toucanpeer.Report{Serving: r.Server().Serving(), Running: running, Queued: queued, Limit: limit}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return toucanpeer.Report{
+		Serving: r.server.Serving(), Running: running, Queued: queued, Limit: limit,
+		Failures: r.failures.at(r.clock.Now()),
+	}
 }
 
 // Run runs a call, at most once for each id. A repeated id waits for the first.
@@ -212,7 +218,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	if !c.Repeat {
-		r.repeats.Count(c.Service)
+		r.repeats.Count(c.Service, c.Priority == 0)
 	}
 	resp, err := r.exchange(ctx, s, c, began.Add(c.Left))
 	took := r.clock.Now().Sub(started)
@@ -221,6 +227,9 @@
 		r.forgetServer(s)
 	}
 	res := r.outcome(resp, err)
+	if ctx.Err() == nil {
+		r.noteOutcome(res.Outcome == toucancall.Answered)
+	}
 	if res.Outcome != toucancall.Answered && (c.Repeatable || res.Outcome == toucancall.NotRun) {
 		res.MayRepeat = r.repeats.Spend(c.Service, r.siblings(c.Service), c.Priority == 0)
 	}
@@ -229,6 +238,12 @@
 	return res
 }
 
+func (r *Runner) noteOutcome(answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures.note(!answered, r.clock.Now())
+}
+
 // forgetServer waits for the next heartbeat after another server answered at the
 // address.
 func (r *Runner) forgetServer(s Server) {
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -117,7 +117,7 @@
 	q.deadline = q.Arrived.Add(left)
 	q.service = e.Splitter.Next(q.route)
 	q.header = e.endToEnd(q.Header)
-	e.Budget.Count(q.service)
+	e.Budget.Count(q.service, q.route.Priority == 0)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
 	defer cancel()
 	return e.attempt(ctx, q)
--- a/toucanfleet/choose.go
+++ b/toucanfleet/choose.go
@@ -75,11 +75,12 @@
 		}
 		load := n.load()
 		s := n.currentStats(now)
+		failures := max(s.failures, n.report.Failures)
 		latency := s.latency[route] / objective.Seconds()
 		tolerated := nearLatency + nearBytes*f.bytes[route]
-		score := load + failurePenalty*s.failures + latencyPenalty*latency + noise*rand.Float64()
+		score := load + failurePenalty*failures + latencyPenalty*latency + noise*rand.Float64()
 		if n.member.DataCentre == f.self.DataCentre {
-			if load < nearLoad && s.failures < nearFailures && latency < tolerated && (near == nil || score < nearScore) {
+			if load < nearLoad && failures < nearFailures && latency < tolerated && (near == nil || score < nearScore) {
 				near, nearScore = n, score
 			}
 		} else {
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -41,11 +41,12 @@
 
 // Report is the state of a node and of the backend server beside it.
 type Report struct {
-	Serving bool
-	Running int
-	Queued  int
-	Limit   int    // concurrent calls that the backend server takes
-	Version uint64 // version of the document in force at the node
+	Serving  bool
+	Running  int
+	Queued   int
+	Limit    int     // concurrent calls that the backend server takes
+	Failures float64 // recent share of calls without an answer of the backend server
+	Version  uint64  // version of the document in force at the node
 }
 
 // Member describes a node and the backend server beside it.
--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -10,8 +10,10 @@
 const (
 	// budgetSlots divides the window of a budget.
 	budgetSlots = 10
-	// plainShare is the part that requests which are not urgent may spend.
-	plainShare = 0.5
+	// urgentReserve is the number of repeats for each urgent request that other
+	// requests leave in the budget, at most urgentShare of the whole.
+	urgentReserve = 1.0
+	urgentShare   = 0.5
 )
 
 // Budget bounds the repeats that a node sends to each service, as its part of a
@@ -31,6 +33,7 @@
 type budgetWindow struct {
 	slot     int64
 	requests [budgetSlots]int
+	urgent   [budgetSlots]int // part of the requests
 	repeats  [budgetSlots]int
 }
 
@@ -41,11 +44,14 @@
 }
 
 // Count adds a request for a service.
-func (b *Budget) Count(service string) {
+func (b *Budget) Count(service string, urgent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(service)
 	w.requests[w.slot%budgetSlots]++
+	if urgent {
+		w.urgent[w.slot%budgetSlots]++
+	}
 }
 
 // Spend takes one repeat and reports whether there was one. nodes is the number
@@ -56,9 +62,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(service)
-	requests, repeats := 0, 0
+	requests, urgents, repeats := 0, 0, 0
 	for i := range w.requests {
 		requests += w.requests[i]
+		urgents += w.urgent[i]
 		repeats += w.repeats[i]
 	}
 	allowed := b.ratio * float64(requests)
@@ -66,7 +73,7 @@
 		allowed += b.slack / float64(max(1, nodes))
 	}
 	if !urgent {
-		allowed *= plainShare
+		allowed -= min(urgentReserve*float64(urgents), urgentShare*allowed)
 	}
 	if float64(repeats+1) > allowed {
 		return false
@@ -85,7 +92,8 @@
 	slot := int64(b.clock.Now().Sub(b.began) / (b.window / budgetSlots))
 	for w.slot < slot {
 		w.slot = max(w.slot+1, slot-budgetSlots+1)
-		w.requests[w.slot%budgetSlots], w.repeats[w.slot%budgetSlots] = 0, 0
+		i := w.slot % budgetSlots
+		w.requests[i], w.urgent[i], w.repeats[i] = 0, 0, 0
 	}
 	return w
 }
