--- a/toucanbackend/gate.go
+++ b/toucanbackend/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanpeer"
 )
 
 const (
@@ -142,10 +143,10 @@
 	}
 }
 
-func (g *gate) load() (running, queued, limit int) {
+func (g *gate) report() toucanpeer.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running, len(g.waiting), g.limit
+	return toucanpeer.Report{Running: g.running, Queued: len(g.waiting), Limit: g.limit, Duration: g.duration}
 }
 
 // waitQueue is a heap of waiting calls, most urgent and oldest first.
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -126,13 +126,11 @@
 
 // Report describes the load of the server.
 func (r *Runner) Report() toucanpeer.Report {
-	running, queued, limit := r.gate.load()
+	rep := r.gate.report()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return toucanpeer.Report{
-		Serving: r.server.Serving(), Running: running, Queued: queued, Limit: limit,
-		Failures: r.failures.at(r.clock.Now()),
-	}
+	rep.Serving, rep.Failures = r.server.Serving(), r.failures.at(r.clock.Now())
+	return rep
 }
 
 // Run runs a call, at most once for each id. A repeated id waits for the first.
--- a/toucanfleet/choose.go
+++ b/toucanfleet/choose.go
@@ -39,15 +39,17 @@
 	statTime = 3 * time.Second
 )
 
-// stats are moving means of the outcomes of a member's calls.
+// stats is the moving share of a member's calls that failed.
 type stats struct {
 	failures float64
-	latency  map[string]float64 // seconds by route
 	updated  time.Time
 }
 
-// bytesGain is the weight of a new response in the mean size of a route's calls.
-const bytesGain = 0.05
+// routeStats are moving means over the calls of a route.
+type routeStats struct {
+	latency float64 // seconds at a member of mean speed
+	bytes   float64 // size of a response
+}
 
 // Target is a member that a call is sent to.
 type Target struct {
@@ -69,6 +71,8 @@
 	var near, best *node
 	var nearScore, bestScore float64
 	explore := rand.Float64() < exploreShare
+	mean := f.meanDuration(service)
+	seen := f.routes[route]
 	for _, n := range f.byService[service] {
 		if !f.usable(n, now) || contains(tried, n.member.Address) {
 			continue
@@ -76,8 +80,8 @@
 		load := n.load()
 		s := n.currentStats(now)
 		failures := max(s.failures, n.report.Failures)
-		latency := s.latency[route] / objective.Seconds()
-		tolerated := nearLatency + nearBytes*f.bytes[route]
+		latency := seen.latency * n.slowness(mean) / objective.Seconds()
+		tolerated := nearLatency + nearBytes*seen.bytes
 		score := load + failurePenalty*failures + latencyPenalty*latency + noise*rand.Float64()
 		if n.member.DataCentre == f.self.DataCentre {
 			if load < nearLoad && failures < nearFailures && latency < tolerated && (near == nil || score < nearScore) {
@@ -136,23 +140,47 @@
 	if r.Reason == toucancall.ReasonCancelled || r.Reason == toucancall.ReasonOverload {
 		return
 	}
-	if now.Sub(n.stats.updated) > statTime || n.stats.latency == nil {
-		n.stats = stats{latency: make(map[string]float64)}
-	}
 	failed := 0.0
 	if r.Outcome != toucancall.Answered || r.Status >= 500 {
 		failed = 1
 	}
+	n.stats = n.currentStats(now)
 	n.stats.failures += statGain * (failed - n.stats.failures)
-	if failed == 0 {
-		f.bytes[route] += bytesGain * (float64(len(r.Body)) - f.bytes[route])
-		mean, known := n.stats.latency[route]
-		if !known {
-			mean = took.Seconds()
+	n.stats.updated = now
+	if failed == 1 {
+		return
+	}
+	latency := took.Seconds() / n.slowness(f.meanDuration(n.member.Service))
+	seen, known := f.routes[route]
+	if !known {
+		seen = routeStats{latency: latency, bytes: float64(len(r.Body))}
+	}
+	seen.latency += statGain * (latency - seen.latency)
+	seen.bytes += statGain * (float64(len(r.Body)) - seen.bytes)
+	f.routes[route] = seen
+}
+
+// slowness is how long the member's runs take, as a multiple of the mean.
+func (n *node) slowness(mean time.Duration) float64 {
+	if mean <= 0 || n.report.Duration <= 0 {
+		return 1
+	}
+	return float64(n.report.Duration) / float64(mean)
+}
+
+// meanDuration is the mean run of the members of a service. mu is held.
+func (f *Fleet) meanDuration(service string) time.Duration {
+	sum, count := time.Duration(0), 0
+	for _, n := range f.byService[service] {
+		if n.report.Duration > 0 {
+			sum += n.report.Duration
+			count++
 		}
-		n.stats.latency[route] = mean + statGain*(took.Seconds()-mean)
 	}
-	n.stats.updated = now
+	if count == 0 {
+		return 0
+	}
+	return sum / time.Duration(count)
 }
 
 func contains(list []string, s string) bool {
--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -40,7 +40,7 @@
 	self      toucanpeer.Member
 	nodes     map[string]*node // by peer address
 	byService map[string][]*node
-	bytes     map[string]float64                     // mean response size by route
+	routes    map[string]routeStats
 	told      func(addr string, m toucanpeer.Member) // what another node knows of this one
 }
 
@@ -78,7 +78,7 @@
 	f := &Fleet{
 		clock: o.Clock, log: o.Log, hello: o.Hello, ping: o.Ping, version: o.Version, newer: o.Newer, local: o.Local, told: o.Told,
 		self: o.Self, nodes: make(map[string]*node), byService: make(map[string][]*node),
-		bytes: make(map[string]float64),
+		routes: make(map[string]routeStats),
 	}
 	n := &node{up: true, listed: true}
 	f.nodes[o.Self.Address] = n
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -44,9 +44,10 @@
 	Serving  bool
 	Running  int
 	Queued   int
-	Limit    int     // concurrent calls that the backend server takes
-	Failures float64 // recent share of calls without an answer of the backend server
-	Version  uint64  // version of the document in force at the node
+	Limit    int           // concurrent calls that the backend server takes
+	Duration time.Duration // moving mean of a run
+	Failures float64       // recent share of calls without an answer of the backend server
+	Version  uint64        // version of the document in force at the node
 }
 
 // Member describes a node and the backend server beside it.
