--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -28,12 +28,14 @@
 }
 
 const (
-	// keepTime is how long an outcome is kept for a sender whose connection
-	// broke.
+	// keepTime is how long an answer is kept for a sender whose connection broke.
 	keepTime = 2 * time.Second
 	// barTime is how long a call that was asked for before it arrived stays
 	// barred. It is longer than any connection delivers late.
 	barTime = 30 * time.Second
+	// endedTime is how long it is known at least that a call has ended. It is
+	// longer than any sender waits, also one that stood still for seconds.
+	endedTime = 60 * time.Second
 )
 
 // Runner runs calls at the backend server beside the node.
@@ -51,6 +53,7 @@
 	server   Server
 	failures decayingShare
 	runs     map[string]*run
+	ended    idHistory
 	onChange func(Server)
 }
 
@@ -140,6 +143,10 @@
 		r.mu.Unlock()
 		return r.wait(ctx, u)
 	}
+	if r.ended.has(c.ID) {
+		r.mu.Unlock()
+		return r.withReport(forgotten)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	u := &run{cancel: cancel, done: make(chan struct{})}
@@ -151,15 +158,21 @@
 	return r.withReport(u.result)
 }
 
+// forgotten is the outcome of a call that has ended and whose answer is no
+// longer kept.
+var forgotten = toucanpeer.Result{Outcome: toucancall.Unknown, Reason: toucancall.ReasonAnswerForgotten}
+
 func (r *Runner) withReport(res toucanpeer.Result) toucanpeer.Result {
 	res.Report = r.Report()
 	return res
 }
 
+// forget drops the outcome of a call and keeps that it has ended.
 func (r *Runner) forget(id string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	delete(r.runs, id)
-	r.mu.Unlock()
+	r.ended.add(id, r.clock.Now())
 }
 
 func (r *Runner) wait(ctx context.Context, u *run) toucanpeer.Result {
@@ -176,6 +189,10 @@
 func (r *Runner) Await(ctx context.Context, id string) toucanpeer.Result {
 	r.mu.Lock()
 	u := r.runs[id]
+	if u == nil && r.ended.has(id) {
+		r.mu.Unlock()
+		return r.withReport(forgotten)
+	}
 	if u == nil {
 		u = &run{cancel: func() {}, done: make(chan struct{}),
 			result: toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonConnectionLost}}
