--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -39,6 +39,10 @@
 	unknownRetryAfter = 200 * time.Millisecond
 )
 
+// reasonThrottled says that calls of the request would be refused below its
+// service.
+const reasonThrottled toucancall.Reason = "throttled"
+
 // reasonNoTable says that no configuration is known yet.
 const reasonNoTable toucancall.Reason = "no_configuration"
 
@@ -56,6 +60,7 @@
 	Metrics  Metrics
 
 	refusing atomic.Bool
+	throttle throttle
 }
 
 // Refuse makes the entry refuse all further requests.
@@ -127,6 +132,10 @@
 	}
 	q.deadline = q.Arrived.Add(left)
 	q.service = e.Splitter.Next(q.route)
+	if !e.throttle.admit(q.route.Name, q.service, e.Clock.Now()) {
+		q.reason = reasonThrottled
+		return e.refuse(q, e.retryAfter(q.route))
+	}
 	q.header = e.endToEnd(q.Header)
 	e.Budget.Count(q.service, q.route.Priority == 0)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
@@ -155,6 +164,7 @@
 		q.reason = r.Reason
 		if r.Outcome == toucancall.Answered {
 			q.offered = true
+			e.throttle.answered(q.route.Name, r.Status, e.Clock.Now())
 			return e.pass(q, r)
 		}
 		if q.tries >= maxTries || !e.again(q, r) {
@@ -195,15 +205,18 @@
 	var r toucanpeer.Result
 	if target.Link == nil {
 		r = e.Runner.Run(ctx, c)
+		r.Report.Pressure = e.Pressure()
 	} else {
 		r = target.Link.Run(ctx, c)
 	}
+	e.throttle.note(q.service, r, e.Clock.Now())
 	e.Fleet.Done(target, q.route.Name, e.Clock.Now().Sub(began), r)
 	return r
 }
 
 // giveUp answers a request that got no answer of a backend server.
 func (e *Entry) giveUp(q *request) *toucanserve.Response {
+	e.throttle.withdrawn(q.route.Name, e.Clock.Now())
 	if !q.offered {
 		return e.refuse(q, e.retryAfter(q.route))
 	}
--- /dev/null
+++ b/toucanentry/throttle.go
@@ -0,0 +1,142 @@
+package toucanentry
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanpeer"
+)
+
+const (
+	// throttleHalfLife is the half-life of the counts of requests and answers.
+	throttleHalfLife = 500 * time.Millisecond
+	// throttleFactor is how many requests are let through for each that is
+	// answered well. Above 1, so that the rate grows again after an overload.
+	throttleFactor = 1.25
+	// throttleFloor is the least part of the requests that is let through, and
+	// throttleMin the number of requests below which none is held back.
+	throttleFloor = 0.05
+	throttleMin   = 5
+	// pressureGain is the weight of a new call in the pressure of a service, and
+	// pressureTime how long the last one counts.
+	pressureGain = 0.1
+	pressureTime = time.Second
+	// pressureFade weakens the pressure at each hop, so that it does not go round
+	// in a graph with cycles.
+	pressureFade = 0.7
+	// pressureMin is the pressure from which requests are held back.
+	pressureMin = 0.02
+)
+
+// throttle holds back requests at the entry whose calls would be refused deeper
+// in the graph. It needs two signs: the nodes of the service report that calls
+// below them are refused for overload, and the route's own requests fail. Its
+// zero value is ready to use.
+type throttle struct {
+	mu       sync.Mutex
+	routes   map[string]*tally
+	services map[string]*pressure
+}
+
+// tally counts the requests of a route and those that were answered well.
+type tally struct {
+	requests, answers float64
+	updated           time.Time
+}
+
+// pressure is the share of calls to a service that are refused for overload,
+// at the service or below it.
+type pressure struct {
+	share   float64
+	updated time.Time
+}
+
+// admit counts a request and reports whether it may go on.
+func (t *throttle) admit(route, service string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tally(route, now)
+	c.requests++
+	p := t.services[service]
+	if p == nil || now.Sub(p.updated) > pressureTime || p.share < pressureMin || c.requests < throttleMin {
+		return true
+	}
+	admitted := max(throttleFloor, throttleFactor*c.answers/c.requests)
+	return rand.Float64() < admitted
+}
+
+// answered notes the answer of a backend server. A success counts for the rate
+// at which requests are let through.
+func (t *throttle) answered(route string, status int, now time.Time) {
+	if status >= 500 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tally(route, now).answers++
+}
+
+// withdrawn takes back a request that ended for another reason than overload
+// below its service.
+func (t *throttle) withdrawn(route string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tally(route, now)
+	c.requests = max(0, c.requests-1)
+}
+
+// tally returns the counts of a route as of now. mu is held.
+func (t *throttle) tally(route string, now time.Time) *tally {
+	c := t.routes[route]
+	if c == nil {
+		c = &tally{updated: now}
+		if t.routes == nil {
+			t.routes = make(map[string]*tally)
+		}
+		t.routes[route] = c
+	}
+	fade := math.Exp2(-now.Sub(c.updated).Seconds() / throttleHalfLife.Seconds())
+	c.requests, c.answers, c.updated = c.requests*fade, c.answers*fade, now
+	return c
+}
+
+// note takes the outcome of a call to a node of a service.
+func (t *throttle) note(service string, r toucanpeer.Result, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.services[service]
+	if p == nil {
+		p = &pressure{}
+		if t.services == nil {
+			t.services = make(map[string]*pressure)
+		}
+		t.services[service] = p
+	}
+	seen := r.Report.Pressure
+	if r.Outcome == toucancall.NotRun && r.Reason == toucancall.ReasonOverload {
+		seen = 1
+	}
+	if now.Sub(p.updated) > pressureTime {
+		p.share = 0
+	}
+	p.share += pressureGain * (seen - p.share)
+	p.updated = now
+}
+
+// Pressure is the highest pressure of the services that are called from this
+// VM, as it is reported to the nodes that call this one.
+func (e *Entry) Pressure() float64 {
+	now := e.Clock.Now()
+	e.throttle.mu.Lock()
+	defer e.throttle.mu.Unlock()
+	highest := 0.0
+	for _, p := range e.throttle.services {
+		if now.Sub(p.updated) <= pressureTime {
+			highest = max(highest, p.share)
+		}
+	}
+	return pressureFade * highest
+}
--- a/toucanmesh/config.go
+++ b/toucanmesh/config.go
@@ -18,7 +18,7 @@
 	watchRate = 2
 	// minWatch and maxWatch bound the wait of one watch.
 	minWatch = time.Second
-	maxWatch = 15 * time.Second
+	maxWatch = 30 * time.Second
 	// watchPause is the pause after a watch or a list failed.
 	watchPause = 250 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration from another node.
@@ -148,8 +148,8 @@
 // watchWait spreads the watches of all nodes over time.
 func (n *Node) watchWait() time.Duration {
 	wait := time.Duration(n.fleet.Size()) * time.Second / watchRate
-	wait = min(max(wait, minWatch), maxWatch)
-	return time.Duration(float64(wait) * (0.5 + rand.Float64()))
+	wait = time.Duration(float64(wait) * (0.5 + rand.Float64()))
+	return min(max(wait, minWatch), maxWatch)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -61,6 +61,7 @@
 
 // stamp adds to a report what the runner does not know.
 func (h *host) stamp(r toucanpeer.Result) toucanpeer.Result {
+	r.Report.Pressure = h.entry.Pressure()
 	r.Report.Version = (*Node)(h).version()
 	r.Report.Serving = r.Report.Serving && !h.leaving.Load()
 	return r
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -20,7 +20,7 @@
 	// leaseTTL is how long a member stays listed after its node fell silent, and
 	// renewTime the time between renewals.
 	leaseTTL  = 5 * time.Second
-	renewTime = time.Second
+	renewTime = 1500 * time.Millisecond
 	// retryTime is the pause after a failed call to the store.
 	retryTime = 300 * time.Millisecond
 	// markTTL is how long the departure of a backend server is remembered. It is
@@ -32,8 +32,10 @@
 	// freshShare is the part of the heartbeat interval after which a further
 	// heartbeat was sent after this node started.
 	freshShare = 0.6
-	// memberPause collects changes of members between two watches.
-	memberPause = 100 * time.Millisecond
+	// memberPause collects changes of members between two watches, because each
+	// change ends the watches of all nodes. Connected nodes hear of changes
+	// directly.
+	memberPause = time.Second
 )
 
 // registration keeps this node's member in the store.
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -47,6 +47,7 @@
 	Limit    int           // concurrent calls that the backend server takes
 	Duration time.Duration // moving mean of a run
 	Failures float64       // recent share of calls without an answer of the backend server
+	Pressure float64       // share of the calls from this VM that are refused for overload, there or below
 	Version  uint64        // version of the document in force at the node
 }
 
