--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -132,7 +132,7 @@
 	}
 	q.deadline = q.Arrived.Add(left)
 	q.service = e.Splitter.Next(q.route)
-	if !e.throttle.admit(q.route.Name, q.service, e.Clock.Now()) {
+	if !e.throttle.admit(q.route, q.service, e.Clock.Now()) {
 		q.reason = reasonThrottled
 		return e.refuse(q, e.retryAfter(q.route))
 	}
--- a/toucanentry/throttle.go
+++ b/toucanentry/throttle.go
@@ -8,6 +8,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanpeer"
+	"toucanhaven/toucanroute"
 )
 
 const (
@@ -20,6 +21,10 @@
 	// throttleMin the number of requests below which none is held back.
 	throttleFloor = 0.05
 	throttleMin   = 5
+	// failureHalfLife is the half-life of the failures by which a route is known
+	// to depend on what is short, and failureMin their least number.
+	failureHalfLife = 5 * time.Second
+	failureMin      = 2
 	// pressureGain is the weight of a new call in the pressure of a service, and
 	// pressureTime how long the last one counts.
 	pressureGain = 0.1
@@ -43,10 +48,21 @@
 
 // tally counts the requests of a route and those that were answered well.
 type tally struct {
+	priority          int
 	requests, answers float64
+	failures          float64 // with the longer half-life
+	pressed           bool    // at the last request, calls were refused below the service
 	updated           time.Time
 }
 
+// admitted is the part of the route's requests that is let through.
+func (c *tally) admitted() float64 {
+	if !c.pressed || c.requests < throttleMin {
+		return 1
+	}
+	return min(1, max(throttleFloor, throttleFactor*c.answers/c.requests))
+}
+
 // pressure is the share of calls to a service that are refused for overload,
 // at the service or below it.
 type pressure struct {
@@ -54,29 +70,39 @@
 	updated time.Time
 }
 
-// admit counts a request and reports whether it may go on.
-func (t *throttle) admit(route, service string, now time.Time) bool {
+// admit counts a request and reports whether it may go on. No route that
+// depends on what is short is let through more than a more urgent one.
+func (t *throttle) admit(r *toucanroute.Route, service string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.tally(route, now)
+	c := t.tally(r.Name, now)
 	c.requests++
 	p := t.services[service]
-	if p == nil || now.Sub(p.updated) > pressureTime || p.share < pressureMin || c.requests < throttleMin {
-		return true
+	c.priority = r.Priority
+	c.pressed = p != nil && now.Sub(p.updated) <= pressureTime && p.share >= pressureMin
+	admitted := c.admitted()
+	if c.pressed && c.failures >= failureMin {
+		for _, other := range t.routes {
+			if other.priority < c.priority && other.failures >= failureMin {
+				admitted = min(admitted, other.admitted())
+			}
+		}
 	}
-	admitted := max(throttleFloor, throttleFactor*c.answers/c.requests)
-	return rand.Float64() < admitted
+	return admitted >= 1 || rand.Float64() < admitted
 }
 
 // answered notes the answer of a backend server. A success counts for the rate
 // at which requests are let through.
 func (t *throttle) answered(route string, status int, now time.Time) {
-	if status >= 500 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.tally(route, now).answers++
+	c := t.tally(route, now)
+	switch {
+	case status < 500:
+		c.answers++
+	case c.pressed:
+		c.failures++
+	}
 }
 
 // withdrawn takes back a request that ended for another reason than overload
@@ -98,8 +124,10 @@
 		}
 		t.routes[route] = c
 	}
-	fade := math.Exp2(-now.Sub(c.updated).Seconds() / throttleHalfLife.Seconds())
+	age := now.Sub(c.updated).Seconds()
+	fade := math.Exp2(-age / throttleHalfLife.Seconds())
 	c.requests, c.answers, c.updated = c.requests*fade, c.answers*fade, now
+	c.failures *= math.Exp2(-age / failureHalfLife.Seconds())
 	return c
 }
 
