--- a/cmd/toucanhaven/mesh.go
+++ b/cmd/toucanhaven/mesh.go
@@ -58,7 +58,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n, err := toucanmesh.New(toucanmesh.Options{
 		Settings: s, SettingsFile: file, Store: platform.NewStore(s.StoreAddress),
-		Clock: toucanclock.System{}, Log: toucanlog.NewLogger(out, s.LogLevel),
+		Clock: toucanclock.System{}, Log: toucanlog.NewLogger(out, s.LogLevel), Dropped: out.Dropped,
 		Dialect: toucanmesh.Dialect{
 			Headers: platform.Headers(), ConfigKey: platform.ConfigKey, Decode: platform.DecodeConfig,
 			Control: func(n *toucanmesh.Node, log *slog.Logger) http.Handler { return platform.ControlHandler(n, log) },
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -84,8 +84,13 @@
 	offered  bool // a backend server may have run the request
 	arrived  bool // a backend server may have been sent the request
 	runs     int  // backend servers that may have run it
-	node     string
 	reason   toucancall.Reason
+
+	// Inputs of the decisions, for the log.
+	node               string
+	load               float64
+	age                time.Duration
+	admitted, pressure float64
 }
 
 // Handle answers one request.
@@ -103,7 +108,8 @@
 	}
 	e.Metrics.Observe(route, resp.Status, took)
 	e.Log.Info("request", "request", q.id, "route", route, "version", version, "service", q.service,
-		"status", resp.Status, "reason", string(q.reason), "offered", q.offered, "tries", q.tries, "node", q.node, "took", took)
+		"status", resp.Status, "reason", string(q.reason), "offered", q.offered, "tries", q.tries,
+		"node", q.node, "load", q.load, "report_age", q.age, "admitted", q.admitted, "pressure", q.pressure, "took", took)
 	return resp
 }
 
@@ -132,7 +138,8 @@
 	}
 	q.deadline = q.Arrived.Add(left)
 	q.service = e.Splitter.Next(q.route)
-	if !e.throttle.admit(q.route, q.service, e.Clock.Now()) {
+	var ok bool
+	if ok, q.admitted, q.pressure = e.throttle.admit(q.route, q.service, e.Clock.Now()); !ok {
 		q.reason = reasonThrottled
 		return e.refuse(q, e.retryAfter(q.route))
 	}
@@ -159,7 +166,7 @@
 			}
 			return e.giveUp(q)
 		}
-		q.node = target.Node
+		q.node, q.load, q.age = target.Node, target.Load, target.Age
 		r := e.send(ctx, q, target, left)
 		q.reason = r.Reason
 		if r.Outcome == toucancall.Answered {
--- a/toucanentry/throttle.go
+++ b/toucanentry/throttle.go
@@ -70,9 +70,11 @@
 	updated time.Time
 }
 
-// admit counts a request and reports whether it may go on. No route that
-// depends on what is short is let through more than a more urgent one.
-func (t *throttle) admit(r *toucanroute.Route, service string, now time.Time) bool {
+// admit counts a request and reports whether it may go on, with the part of the
+// route's requests that is let through and the pressure of its service. No
+// route that depends on what is short is let through more than a more urgent
+// one.
+func (t *throttle) admit(r *toucanroute.Route, service string, now time.Time) (ok bool, admitted, share float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.tally(r.Name, now)
@@ -80,7 +82,10 @@
 	p := t.services[service]
 	c.priority = r.Priority
 	c.pressed = p != nil && now.Sub(p.updated) <= pressureTime && p.share >= pressureMin
-	admitted := c.admitted()
+	if p != nil {
+		share = p.share
+	}
+	admitted = c.admitted()
 	if c.pressed && c.failures >= failureMin {
 		for _, other := range t.routes {
 			if other.priority < c.priority && other.failures >= failureMin {
@@ -88,7 +93,7 @@
 			}
 		}
 	}
-	return admitted >= 1 || rand.Float64() < admitted
+	return admitted >= 1 || rand.Float64() < admitted, admitted, share
 }
 
 // answered notes the answer of a backend server. A success counts for the rate
--- a/toucanentry/throttle_test.go
+++ b/toucanentry/throttle_test.go
@@ -45,7 +45,7 @@
 		now := from.Add(time.Duration(float64(i) / perSecond * float64(time.Second)))
 		k := rng.IntN(len(routes))
 		r := routes[k]
-		if !t.admit(r, "s", now) {
+		if ok, _, _ := t.admit(r, "s", now); !ok {
 			continue
 		}
 		admitted[k]++
@@ -80,7 +80,8 @@
 	now := time.Unix(1000, 0)
 	r := &toucanroute.Route{Name: "r"}
 	for range 100 {
-		is.True(th.admit(r, "s", now))
+		ok, _, _ := th.admit(r, "s", now)
+		is.True(ok)
 		th.note("s", toucanpeer.Result{Outcome: toucancall.Answered, Status: 500}, now)
 		th.answered("r", 500, now)
 	}
@@ -95,9 +96,10 @@
 	held := 0
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
-		is.True(th.admit(leaf, "s", now))
+		ok, _, _ := th.admit(leaf, "s", now)
+		is.True(ok)
 		th.answered("leaf", 200, now)
-		if !th.admit(deep, "s", now) {
+		if ok, _, _ := th.admit(deep, "s", now); !ok {
 			held++
 			continue
 		}
--- a/toucanfleet/choose.go
+++ b/toucanfleet/choose.go
@@ -54,8 +54,9 @@
 // Target is a member that a call is sent to.
 type Target struct {
 	Node string
-	DC   string
 	Link *toucanpeer.Link // nil for this node itself
+	Load float64          // of the member, as a share of its limit, when it was chosen
+	Age  time.Duration    // of the report that the choice rests on
 	n    *node
 }
 
@@ -103,8 +104,9 @@
 	if best == nil {
 		return Target{}, false
 	}
+	t := Target{Node: best.member.Node, Link: best.link, Load: best.load(), Age: now.Sub(best.reported), n: best}
 	best.inFlight++
-	return Target{Node: best.member.Node, DC: best.member.DataCentre, Link: best.link, n: best}, true
+	return t, true
 }
 
 // usable reports whether a member takes calls. mu is held.
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -78,6 +78,8 @@
 	Store        toucanstore.Store
 	Clock        toucanclock.Clock
 	Log          *slog.Logger
+	// Dropped returns the number of log lines that were dropped; nil for none.
+	Dropped func() uint64
 }
 
 // Node is the daemon beside one backend server.
@@ -98,6 +100,7 @@
 	member  registration
 	startup startup
 	metrics *meter
+	dropped func() uint64
 
 	stopping  atomic.Bool // callers are sent elsewhere
 	leaving   atomic.Bool // other nodes are sent elsewhere too
@@ -113,6 +116,10 @@
 		dialect: o.Dialect, file: o.SettingsFile, clock: o.Clock, log: o.Log, store: o.Store,
 		incarnation: rand.Uint64(), stop: make(chan struct{}), metrics: newMeter(),
 	}
+	n.dropped = o.Dropped
+	if n.dropped == nil {
+		n.dropped = func() uint64 { return 0 }
+	}
 	n.settings.Store(&o.Settings)
 	n.runner = toucanbackend.NewRunner(toucanbackend.Options{
 		Names: o.Dialect.Headers, Clock: o.Clock, Log: o.Log, OnChange: n.backendChanged,
@@ -137,6 +144,7 @@
 		Handler: n.entry.Handle, Bounds: n.bounds, RetryAfter: settingsPoll, Logger: o.Log,
 		BufferBytes: int64(bufferShare * float64(o.Settings.MemoryMB<<20)),
 	}
+	n.metrics.watch(n)
 	return n, nil
 }
 
@@ -324,5 +332,27 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`toucan_request_seconds{route=%q}`, route)).Update(took.Seconds())
 }
 
+// watch adds the gauges of a node.
+func (m *meter) watch(n *Node) {
+	gauge := func(name string, f func() float64) { m.set.NewGauge("toucan_"+name, f) }
+	gauge("backend_running", func() float64 { return float64(n.runner.Report().Running) })
+	gauge("backend_queued", func() float64 { return float64(n.runner.Report().Queued) })
+	gauge("backend_limit", func() float64 { return float64(n.runner.Report().Limit) })
+	gauge("backend_failure_share", func() float64 { return n.runner.Report().Failures })
+	gauge("pressure_below", n.entry.Pressure)
+	gauge("requests_active", func() float64 { return float64(n.server.Active()) })
+	gauge("members", func() float64 { return float64(n.fleet.Size()) })
+	gauge("configuration_version", func() float64 { return float64(n.version()) })
+	gauge("log_lines_dropped", func() float64 { return float64(n.dropped()) })
+	gauge("store_lost", func() float64 {
+		n.member.mu.Lock()
+		defer n.member.mu.Unlock()
+		if n.member.lost {
+			return 1
+		}
+		return 0
+	})
+}
+
 // ServeHTTP writes all metrics.
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
