--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -54,6 +54,7 @@
 	failures decayingShare
 	runs     map[string]*run
 	ended    idHistory
+	origins  origins
 	onChange func(Server)
 }
 
@@ -151,8 +152,10 @@
 	defer cancel()
 	u := &run{cancel: cancel, done: make(chan struct{})}
 	r.runs[c.ID] = u
+	child := r.origins.note(c.Route, c.Caller, r.clock.Now())
 	r.mu.Unlock()
 	u.result = r.run(ctx, c)
+	u.result.Child = child
 	close(u.done)
 	time.AfterFunc(keepTime, func() { r.forget(c.ID) })
 	return r.withReport(u.result)
--- a/toucanentry/throttle.go
+++ b/toucanentry/throttle.go
@@ -29,9 +29,6 @@
 	// pressureTime how long the last one counts.
 	pressureGain = 0.1
 	pressureTime = time.Second
-	// pressureFade weakens the pressure at each hop, so that it does not go round
-	// in a graph with cycles.
-	pressureFade = 0.7
 	// pressureMin is the pressure from which requests are held back.
 	pressureMin = 0.02
 )
@@ -43,7 +40,8 @@
 type throttle struct {
 	mu       sync.Mutex
 	routes   map[string]*tally
-	services map[string]*pressure
+	services map[string]*pressure // as the entry sees them
+	below    map[string]*pressure // of the calls that the backend server makes
 }
 
 // tally counts the requests of a route and those that were answered well.
@@ -140,18 +138,25 @@
 func (t *throttle) note(service string, r toucanpeer.Result, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.services[service]
-	if p == nil {
-		p = &pressure{}
-		if t.services == nil {
-			t.services = make(map[string]*pressure)
-		}
-		t.services[service] = p
-	}
 	seen := r.Report.Pressure
 	if r.Outcome == toucancall.NotRun && r.Reason == toucancall.ReasonOverload {
 		seen = 1
 	}
+	if t.services == nil {
+		t.services, t.below = make(map[string]*pressure), make(map[string]*pressure)
+	}
+	notePressure(t.services, service, seen, now)
+	if r.Child {
+		notePressure(t.below, service, seen, now)
+	}
+}
+
+func notePressure(m map[string]*pressure, service string, seen float64, now time.Time) {
+	p := m[service]
+	if p == nil {
+		p = &pressure{}
+		m[service] = p
+	}
 	if now.Sub(p.updated) > pressureTime {
 		p.share = 0
 	}
@@ -159,17 +164,18 @@
 	p.updated = now
 }
 
-// Pressure is the highest pressure of the services that are called from this
-// VM, as it is reported to the nodes that call this one.
+// Pressure is the highest pressure of the services that the backend server of
+// this VM calls, as it is reported to the nodes that call this one. Requests of
+// callers do not count: what they meet says nothing of this service.
 func (e *Entry) Pressure() float64 {
 	now := e.Clock.Now()
 	e.throttle.mu.Lock()
 	defer e.throttle.mu.Unlock()
 	highest := 0.0
-	for _, p := range e.throttle.services {
+	for _, p := range e.throttle.below {
 		if now.Sub(p.updated) <= pressureTime {
 			highest = max(highest, p.share)
 		}
 	}
-	return pressureFade * highest
+	return highest
 }
--- a/toucanentry/throttle_test.go
+++ b/toucanentry/throttle_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanclock"
 	"toucanhaven/toucanpeer"
 	"toucanhaven/toucanroute"
 )
@@ -122,16 +123,26 @@
 	is.True(admitted[0] > admitted[1]-50)
 }
 
-func TestPressureFadesOnItsWay(t *testing.T) {
+// The pressure that a node reports comes from the calls of its backend server
+// alone, and ends with the refusals.
+func TestPressureOfChildCalls(t *testing.T) {
 	is := is.New(t)
-	var th throttle
-	now := time.Unix(1000, 0)
+	e := &Entry{Clock: toucanclock.NewManual(time.Unix(1000, 0))}
+	now := e.Clock.Now()
+	for range 50 {
+		e.throttle.note("s", overload, now) // a caller's request
+	}
+	is.Equal(e.Pressure(), 0.0)
+	child := overload
+	child.Child = true
 	for range 50 {
-		th.note("s", overload, now)
+		e.throttle.note("s", child, now)
 	}
-	is.True(th.services["s"].share > 0.9)
+	is.True(e.Pressure() > 0.9)
+	child = calm
+	child.Child = true
 	for range 50 {
-		th.note("s", calm, now)
+		e.throttle.note("s", child, now)
 	}
-	is.True(th.services["s"].share < pressureMin)
+	is.True(e.Pressure() < pressureMin)
 }
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -36,7 +36,9 @@
 	// MayRepeat says that a call which reached the backend server without an
 	// answer may be sent to a backend server once more.
 	MayRepeat bool
-	Report    Report
+	// Child says that the route of the call carries the calls of backend servers.
+	Child  bool
+	Report Report
 }
 
 // Report is the state of a node and of the backend server beside it.
@@ -47,7 +49,7 @@
 	Limit    int           // concurrent calls that the backend server takes
 	Duration time.Duration // moving mean of a run
 	Failures float64       // recent share of calls without an answer of the backend server
-	Pressure float64       // share of the calls from this VM that are refused for overload, there or below
+	Pressure float64       // share of the calls of the backend server that are refused for overload, there or below
 	Version  uint64        // version of the document in force at the node
 }
 
