--- a/toucanentry/throttle.go
+++ b/toucanentry/throttle.go
@@ -27,10 +27,10 @@
 	failureMin      = 2
 	// pressureGain is the weight of a new call in the pressure of a service, and
 	// pressureTime how long the last one counts.
-	pressureGain = 0.1
+	pressureGain = 0.03
 	pressureTime = time.Second
 	// pressureMin is the pressure from which requests are held back.
-	pressureMin = 0.02
+	pressureMin = 0.03
 )
 
 // throttle holds back requests at the entry whose calls would be refused deeper
