--- a/toucanmesh/harness_test.go
+++ b/toucanmesh/harness_test.go
@@ -80,15 +80,22 @@
 
 // start runs a node for a service. The backend server says that it is ready.
 func (s *site) start(name, service string) *member {
+	m := s.prepare(name, service)
+	m.run()
+	m.beat("ready", http.StatusOK)
+	return m
+}
+
+// prepare returns a node that does not run yet.
+func (s *site) prepare(name, service string) *member {
 	m := &member{site: s, backend: platformtest.NewBackend(s.t, service, "i-"+name, "")}
 	m.settings = toucanmesh.Settings{
 		Node: name, Service: service, DataCentre: "dc", CallerAddress: free(s.t), ReadyAddress: free(s.t),
 		ControlAddress: free(s.t), PeerAddress: free(s.t), BackendAddress: m.backend.Address, StoreAddress: s.store.Address,
 		MemoryMB: 256, RetryRatio: 0.2, RetrySlack: 50,
 	}
+	m.settings.PeerAdvertised = m.settings.PeerAddress
 	m.settings.Grace.Duration, m.settings.RetryWindow.Duration, m.settings.Heartbeat.Duration = 4*time.Second, 10*time.Second, 1500*time.Millisecond
-	m.run()
-	m.beat("ready", http.StatusOK)
 	return m
 }
 
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -75,7 +75,7 @@
 func (n *Node) self() toucanpeer.Member {
 	s, b := n.settings.Load(), n.runner.Server()
 	m := toucanpeer.Member{
-		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre, Service: s.Service,
+		Node: s.Node, Address: s.PeerAdvertised, DataCentre: s.DataCentre, Service: s.Service,
 		Instance: b.Instance, Born: b.Born, Slots: b.Slots, Left: b.Left,
 		Serving: b.Serving() && !n.leaving.Load(),
 	}
--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -114,9 +114,11 @@
 func TestUnsafeRequestSurvivesBrokenLink(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, unsafeRoute())
-	entry, home := s.start("a", "stock"), s.start("b", "orders")
-	proxy := newProxy(t, home.settings.PeerAddress)
-	s.store.Write("members/b", []byte(fmt.Sprintf(`{"node":"b","address":%q,"data_centre":"dc","service":"orders","serving":true,"slots":20,"instance":"i-b"}`, proxy.address)))
+	entry, home := s.start("a", "stock"), s.prepare("b", "orders")
+	proxy := platformtest.NewProxy(t, home.settings.PeerAddress)
+	home.settings.PeerAdvertised = proxy.Address
+	home.run()
+	home.beat("ready", http.StatusOK)
 	entry.served("/order/")
 	home.backend.SetAnswer(platformtest.After(600 * time.Millisecond))
 	for i := range 4 {
@@ -124,7 +126,7 @@
 		done := make(chan answer, 1)
 		go func() { done <- entry.ask("POST", "/order/1", id) }()
 		eventually(t, "the request runs", func() bool { return home.backend.Runs(id) == 1 })
-		proxy.cut()
+		proxy.Reset()
 		got := <-done
 		is.NoErr(got.err)
 		is.Equal(got.status, 200)
--- a/toucanmesh/settings.go
+++ b/toucanmesh/settings.go
@@ -21,6 +21,7 @@
 	ReadyAddress   string `toml:"ready_address"`   // readiness checks
 	ControlAddress string `toml:"control_address"` // heartbeats of the backend server
 	PeerAddress    string `toml:"peer_address"`    // other nodes
+	PeerAdvertised string `toml:"peer_advertised"` // where other nodes reach peer_address; empty for the same
 	MetricsAddress string `toml:"metrics_address"` // empty for none
 	BackendAddress string `toml:"backend_address"`
 	StoreAddress   string `toml:"store_address"`
@@ -59,6 +60,9 @@
 	if _, err := toml.Decode(string(data), &s); err != nil {
 		return s, err
 	}
+	if s.PeerAdvertised == "" {
+		s.PeerAdvertised = s.PeerAddress
+	}
 	return s, s.check()
 }
 
@@ -72,7 +76,7 @@
 	}
 	for _, f := range []struct{ name, value string }{
 		{"caller_address", s.CallerAddress}, {"ready_address", s.ReadyAddress}, {"control_address", s.ControlAddress},
-		{"peer_address", s.PeerAddress}, {"backend_address", s.BackendAddress}, {"store_address", s.StoreAddress},
+		{"peer_address", s.PeerAddress}, {"peer_advertised", s.PeerAdvertised}, {"backend_address", s.BackendAddress}, {"store_address", s.StoreAddress},
 	} {
 		if _, _, err := net.SplitHostPort(f.value); err != nil {
 			return fmt.Errorf("%s %q is not HOST:PORT", f.name, f.value)
