toucanmesh: take the store's word on departures only after other nodes could speak

Cause: a departure that was acknowledged while the store was away is remembered by other nodes only. A node that restarted after the store's return took its server up again from the store, and a node that had reconnected forgot the departure. Test: TestDepartureBinds/store_back_restart, failed before. The tests take ports that outgoing connections do not get (a restart failed with 'address already in use').

--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -115,15 +115,15 @@
 }
 
 func (s *soak) newNode(name, service string) *soakNode {
-	n := &soakNode{name: name, service: service, dir: s.t.TempDir(), caller: soakAddress(s.t), control: soakAddress(s.t)}
+	n := &soakNode{name: name, service: service, dir: s.t.TempDir(), caller: platformtest.FreeAddress(s.t), control: platformtest.FreeAddress(s.t)}
 	n.backend = platformtest.NewBackend(s.t, service, "i-"+name, "")
 	n.backend.SetAnswer(platformtest.After(time.Duration(5+s.rng.IntN(60)) * time.Millisecond))
-	peer := soakAddress(s.t)
+	peer := platformtest.FreeAddress(s.t)
 	n.peers, n.storeLink = platformtest.NewProxy(s.t, peer), platformtest.NewProxy(s.t, s.store.Address)
 	settings := fmt.Sprintf("node = %q\nservice = %q\ndata_centre = \"dc\"\ncaller_address = %q\nready_address = %q\ncontrol_address = %q\n"+
 		"peer_address = %q\npeer_advertised = %q\nbackend_address = %q\nstore_address = %q\nmemory_mb = 128\nheartbeat = \"500ms\"\ngrace = \"4s\"\n"+
 		"retry_ratio = 0.2\nretry_slack = 20\nretry_window = \"10s\"\n",
-		name, service, n.caller, soakAddress(s.t), n.control, peer, n.peers.Address, n.backend.Address, n.storeLink.Address)
+		name, service, n.caller, platformtest.FreeAddress(s.t), n.control, peer, n.peers.Address, n.backend.Address, n.storeLink.Address)
 	if err := os.WriteFile(filepath.Join(n.dir, "mesh.toml"), []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -151,15 +151,6 @@
 	return string(data[max(0, len(data)-4000):])
 }
 
-func soakAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // start runs the program, which testscript puts on the path.
 func (n *soakNode) start(t *testing.T) {
 	cmd := exec.Command("toucanhaven", "mesh", "--settings", filepath.Join(n.dir, "mesh.toml"))
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -21,7 +21,6 @@
 	RequestID      string
 	DeadlineMillis string // milliseconds that the sender will wait
 	TargetInstance string // id of the backend server that must run the request
-	InstanceID     string // id of the backend server that answers
 	NotRun         string // the backend server did not run the request
 	Signature      string // of a backend server's response
 	CallerService  string // service of the VM where the request originated
--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -47,7 +47,8 @@
 // node is one member as this node knows it.
 type node struct {
 	member   toucanpeer.Member
-	link     *toucanpeer.Link // nil for this node itself
+	departed toucanpeer.Member // last member whose backend server left
+	link     *toucanpeer.Link  // nil for this node itself
 	up       bool
 	listed   bool      // in the store
 	seen     time.Time // last listed or connected
@@ -178,14 +179,19 @@
 	return list
 }
 
-// Known returns what is known of the node at an address.
+// Known returns what is known of the node at an address, for a node that has
+// restarted and knows nothing itself. A departure goes first.
 func (f *Fleet) Known(address string) toucanpeer.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n := f.nodes[address]; n != nil {
-		return n.member
+	n := f.nodes[address]
+	switch {
+	case n == nil:
+		return toucanpeer.Member{}
+	case n.departed.Left && (n.member.Instance == "" || n.member.Instance == n.departed.Instance && n.member.Born == n.departed.Born):
+		return n.departed
 	}
-	return toucanpeer.Member{}
+	return n.member
 }
 
 // Serving returns the number of members of a service that take calls.
@@ -258,6 +264,9 @@
 		f.byService[m.Service] = append(f.byService[m.Service], n)
 	}
 	n.member = m
+	if m.Left {
+		n.departed = m
+	}
 }
 
 func (f *Fleet) removeFromService(n *node) {
--- a/toucanmesh/harness_test.go
+++ b/toucanmesh/harness_test.go
@@ -90,8 +90,8 @@
 func (s *site) prepare(name, service string) *member {
 	m := &member{site: s, backend: platformtest.NewBackend(s.t, service, "i-"+name, "")}
 	m.settings = toucanmesh.Settings{
-		Node: name, Service: service, DataCentre: "dc", CallerAddress: free(s.t), ReadyAddress: free(s.t),
-		ControlAddress: free(s.t), PeerAddress: free(s.t), BackendAddress: m.backend.Address, StoreAddress: s.store.Address,
+		Node: name, Service: service, DataCentre: "dc", CallerAddress: platformtest.FreeAddress(s.t), ReadyAddress: platformtest.FreeAddress(s.t),
+		ControlAddress: platformtest.FreeAddress(s.t), PeerAddress: platformtest.FreeAddress(s.t), BackendAddress: m.backend.Address, StoreAddress: s.store.Address,
 		MemoryMB: 256, RetryRatio: 0.2, RetrySlack: 50,
 	}
 	m.settings.PeerAdvertised = m.settings.PeerAddress
@@ -137,15 +137,6 @@
 	})
 }
 
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	within(t, what, 5*time.Second, f)
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -29,6 +29,10 @@
 	// markTimeout bounds the wait for the store before a departure is
 	// acknowledged. A server calls another node when it waits a second.
 	markTimeout = 500 * time.Millisecond
+	// witnessTime is how long other nodes get to say that the backend server left,
+	// before the store's word is taken. A departure that the store did not take is
+	// remembered by another node.
+	witnessTime = 100 * time.Millisecond
 	// freshShare is the part of the heartbeat interval after which a further
 	// heartbeat was sent after this node started.
 	freshShare = 0.6
@@ -213,6 +217,7 @@
 		item, err := n.store.Get(ctx, leftPrefix+n.settings.Load().Node)
 		switch {
 		case errors.Is(err, toucanstore.ErrNotFound):
+			sleep(ctx, witnessTime)
 			n.settle(toucanpeer.Member{}, "store")
 			n.resume(ctx)
 			return
@@ -276,7 +281,10 @@
 // takeUp uses a backend server without waiting for its next heartbeat.
 func (n *Node) takeUp(m toucanpeer.Member) {
 	s := n.settings.Load()
-	if m.Instance == "" || m.Left || m.Service != s.Service || n.runner.Server().Instance != "" {
+	n.startup.mu.Lock()
+	left := n.startup.departed.Instance == m.Instance && n.startup.departed.Born == m.Born
+	n.startup.mu.Unlock()
+	if m.Instance == "" || m.Left || left || m.Service != s.Service || n.runner.Server().Instance != "" {
 		return
 	}
 	n.log.Info("resume", "instance", m.Instance, "born", m.Born)
@@ -302,6 +310,9 @@
 	}
 	held, count := n.startup.last, n.startup.heartbeats
 	n.startup.mu.Unlock()
+	if departed.Instance != "" {
+		n.runner.Leave(departed.Instance, departed.Born)
+	}
 	if before {
 		return
 	}
--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -217,13 +217,15 @@
 		leave   bool // DELETE without draining first
 		restart bool
 		fault   platformtest.Fault
+		after   platformtest.Fault // from the restart on
 	}{
-		{"draining", false, false, platformtest.Healthy},
-		{"gone", true, false, platformtest.Healthy},
-		{"restart", false, true, platformtest.Healthy},
-		{"restart_gone", true, true, platformtest.Healthy},
-		{"store_down", false, false, platformtest.Busy},
-		{"store_down_restart", false, true, platformtest.Busy},
+		{"draining", false, false, platformtest.Healthy, platformtest.Healthy},
+		{"gone", true, false, platformtest.Healthy, platformtest.Healthy},
+		{"restart", false, true, platformtest.Healthy, platformtest.Healthy},
+		{"restart_gone", true, true, platformtest.Healthy, platformtest.Healthy},
+		{"store_down", false, false, platformtest.Busy, platformtest.Busy},
+		{"store_down_restart", false, true, platformtest.Busy, platformtest.Busy},
+		{"store_back_restart", false, true, platformtest.Busy, platformtest.Healthy},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -244,6 +246,7 @@
 			before := home.backend.Total()
 			if tt.restart {
 				home.kill()
+				s.store.SetFault(tt.after)
 				home.run()
 				// A heartbeat from before the departure arrives late, twice.
 				home.backend.Beat(home.settings.ControlAddress, "ready")
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -28,6 +28,8 @@
 const (
 	// bufferShare is the part of the memory that request bodies may take.
 	bufferShare = 0.25
+	// bufferRetryAfter is when a request that found no room may come back.
+	bufferRetryAfter = time.Second
 	// Parts of the shared retry budget: the node beside a backend server sees all
 	// requests for it and grants most repeats; an entry whose node was lost has
 	// to decide alone. The rest covers the calls of repeated runs.
@@ -141,7 +143,7 @@
 		Metrics:  n.metrics,
 	}
 	n.server = &toucanserve.Server{
-		Handler: n.entry.Handle, Bounds: n.bounds, RetryAfter: settingsPoll, Logger: o.Log,
+		Handler: n.entry.Handle, Bounds: n.bounds, RetryAfter: bufferRetryAfter, Logger: o.Log,
 		BufferBytes: int64(bufferShare * float64(o.Settings.MemoryMB<<20)),
 	}
 	n.metrics.watch(n)
--- a/toucanroute/route_test.go
+++ b/toucanroute/route_test.go
@@ -21,7 +21,7 @@
 	s := toucanroute.Share{Service: "s", Weight: 1}
 	table, err := toucanroute.NewTable(1, []toucanroute.Route{
 		route("short", "a", "/x/", s), route("long", "a", "/x/y/", s), route("all", "b", "/", s),
-	}, []toucanroute.Service{{Name: "s"}}, toucanroute.Limits{})
+	}, []string{"s"}, toucanroute.Limits{})
 	is.NoErr(err)
 	for _, tt := range []struct{ host, path, want string }{
 		{"a", "/x/1", "short"}, {"a", "/x/y/1", "long"}, {"A:8080", "/x/y", "short"}, {"b", "/x/y/", "all"},
--- a/toucanroute/table.go
+++ b/toucanroute/table.go
@@ -29,12 +29,6 @@
 	Shares     []Share
 }
 
-// Service holds what the operator says of one service.
-type Service struct {
-	Name           string
-	MaxConnections int // accepted by each backend server; 0 means unknown
-}
-
 // Limits bounds what a caller may send.
 type Limits struct {
 	HeaderBytes   int
@@ -45,11 +39,10 @@
 
 // Table is one version of the configuration. It is immutable.
 type Table struct {
-	Version  uint64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
-	byHost   map[string][]*Route // longest prefix first
+	Version uint64
+	Routes  []Route
+	Limits  Limits
+	byHost  map[string][]*Route // longest prefix first
 }
 
 // RouteError reports an invalid route or service.
@@ -60,12 +53,12 @@
 
 func (e *RouteError) Error() string { return fmt.Sprintf("route %q: %s", e.Name, e.Reason) }
 
-// NewTable checks and indexes the routes. It fails with a *RouteError.
-func NewTable(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
-	t := &Table{Version: version, Routes: routes, Services: services, Limits: limits, byHost: make(map[string][]*Route)}
+// NewTable checks and indexes the routes, which may lead to the given services. It fails with a *RouteError.
+func NewTable(version uint64, routes []Route, services []string, limits Limits) (*Table, error) {
+	t := &Table{Version: version, Routes: routes, Limits: limits, byHost: make(map[string][]*Route)}
 	known := make(map[string]bool, len(services))
 	for _, s := range services {
-		known[s.Name] = true
+		known[s] = true
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
--- a/toucanserve/conn.go
+++ b/toucanserve/conn.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	readBufferBytes = 4 << 10
 	// maxPipelined bounds the unanswered requests of one connection; reading
 	// stops at the bound.
 	maxPipelined = 32
@@ -26,6 +25,8 @@
 	bodyStall = 10 * time.Second
 	// idleSlack keeps a connection open longer than callers reuse it.
 	idleSlack = time.Second
+	// headRoom is the space that most response headers fit in.
+	headRoom = 512
 	// lingerTime lets a caller read the last response before its unread bytes
 	// would reset the connection.
 	lingerTime = 500 * time.Millisecond
@@ -90,7 +91,7 @@
 	c.budget = math.MaxInt
 	c.awaitIdle()
 	if _, err := c.r.Peek(1); err != nil {
-		c.leave(err)
+		c.leave()
 		return false
 	}
 	b := c.server.Bounds()
@@ -98,14 +99,14 @@
 	c.budget = b.HeaderBytes + headerSlack
 	hr, err := http.ReadRequest(&c.r)
 	if err != nil {
-		c.refuseHeader(err)
+		c.reject(err)
 		return false
 	}
 	c.budget = math.MaxInt
 	arrived := time.Now()
 	body, err := c.readBody(hr, b)
 	if err != nil {
-		c.refuseBody(err)
+		c.reject(err)
 		return false
 	}
 	path, _, _ := strings.Cut(hr.RequestURI, "?")
@@ -164,7 +165,7 @@
 	var err error
 	if resp != nil {
 		c.nc.SetWriteDeadline(time.Now().Add(bodyStall))
-		_, err = c.nc.Write(appendResponse(nil, r, resp, closing))
+		_, err = c.nc.Write(encode(r, resp, closing))
 	}
 	switch {
 	case err != nil:
@@ -199,7 +200,7 @@
 }
 
 // leave ends the requests in progress when the caller has closed the connection.
-func (c *conn) leave(err error) {
+func (c *conn) leave() {
 	c.mu.Lock()
 	closing := c.closing
 	c.closing = true
@@ -209,23 +210,13 @@
 	}
 }
 
-func (c *conn) refuseHeader(err error) {
+// reject ends a connection on which no whole request could be read. A caller
+// that has gone gets no answer.
+func (c *conn) reject(err error) {
 	var ne net.Error
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-	case errors.As(err, &ne) && ne.Timeout():
-		c.refuse(http.StatusRequestTimeout)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
-		c.leave(err)
-	default:
-		c.refuse(http.StatusBadRequest)
-	}
-}
-
-func (c *conn) refuseBody(err error) {
-	var ne net.Error
-	switch {
 	case errors.Is(err, errBodyTooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, errBufferFull):
@@ -233,7 +224,7 @@
 	case errors.As(err, &ne) && ne.Timeout():
 		c.refuse(http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
-		c.leave(err)
+		c.leave()
 	default:
 		c.refuse(http.StatusBadRequest)
 	}
@@ -271,33 +262,45 @@
 		}
 	}
 	c.setReading(bodyStall)
-	if hr.ContentLength >= 0 {
-		if c.server.held.Add(hr.ContentLength) > c.server.BufferBytes {
-			c.server.held.Add(-hr.ContentLength)
-			return nil, errBufferFull
-		}
-		body := make([]byte, hr.ContentLength)
-		if _, err := io.ReadFull(hr.Body, body); err != nil {
-			c.server.held.Add(-hr.ContentLength)
-			return nil, err
-		}
-		return body, nil
+	if hr.ContentLength < 0 {
+		return c.readChunked(hr.Body, b.BodyBytes)
+	}
+	if !c.hold(hr.ContentLength) {
+		return nil, errBufferFull
 	}
-	body, err := io.ReadAll(io.LimitReader(hr.Body, min(b.BodyBytes, c.server.BufferBytes)+1))
+	body := make([]byte, hr.ContentLength)
+	if _, err := io.ReadFull(hr.Body, body); err != nil {
+		c.server.held.Add(-hr.ContentLength)
+		return nil, err
+	}
+	return body, nil
+}
+
+func (c *conn) readChunked(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, min(limit, c.server.BufferBytes)+1))
 	switch {
 	case err != nil:
 		return nil, err
-	case int64(len(body)) > b.BodyBytes:
+	case int64(len(body)) > limit:
 		return nil, errBodyTooLarge
-	case c.server.held.Add(int64(len(body))) > c.server.BufferBytes:
-		c.server.held.Add(-int64(len(body)))
+	case !c.hold(int64(len(body))):
 		return nil, errBufferFull
 	}
 	return body, nil
 }
 
-func appendResponse(b []byte, r *Request, resp *Response, closing bool) []byte {
-	b = make([]byte, 0, 512+len(resp.Body))
+// hold counts the bytes of a body in, unless the server holds too many.
+func (c *conn) hold(n int64) bool {
+	if c.server.held.Add(n) > c.server.BufferBytes {
+		c.server.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+// encode returns the bytes of a response, so that it goes out in one write.
+func encode(r *Request, resp *Response, closing bool) []byte {
+	b := make([]byte, 0, headRoom+len(resp.Body))
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(resp.Status), 10)
 	b = append(b, ' ')
