--- a/cmd/toucanhaven/node.go
+++ b/cmd/toucanhaven/node.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"toucanhaven/toucanlog"
 	"toucanhaven/toucannode"
 	"toucanhaven/toucansettings"
 )
@@ -29,7 +30,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			return exitUsage
 		}
-		options := toucannode.Options{Settings: settings, Logger: toucannode.NewLogger(os.Stderr, settings.LogLevel)}
+		options := toucannode.Options{Settings: settings, Logger: toucanlog.NewLogger(os.Stderr, settings.LogLevel)}
 		if err := runNode(options, addressesFile); err != nil {
 			fmt.Fprintln(os.Stderr, "toucanhaven node:", err)
 			return exitFailure
--- a/cmd/toucanstub/demo_fleet.go
+++ b/cmd/toucanstub/demo_fleet.go
@@ -19,6 +19,7 @@
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
 	"toucanhaven/toucankvtest"
+	"toucanhaven/toucanlog"
 	"toucanhaven/toucannode"
 	"toucanhaven/toucansettings"
 )
@@ -178,7 +179,7 @@
 			DataCentre: "mi-1", Region: "lombardia", KVAddress: kvAddress,
 			Limits: toucansettings.DefaultLimits, StopTimeout: demoStopTimeout,
 		},
-		Logger: toucannode.NewLogger(f.log, slog.LevelInfo),
+		Logger: toucanlog.NewLogger(f.log, slog.LevelInfo),
 	})
 	if err != nil {
 		return err
--- a/toucanlog/writer.go
+++ b/toucanlog/writer.go
@@ -35,7 +35,13 @@
 
 // NewLogger returns a logger that writes one line of key=value pairs per event.
 func NewLogger(w io.Writer, level slog.Level) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
+	replace := func(groups []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.MessageKey && len(groups) == 0 {
+			a.Key = "event"
+		}
+		return a
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: replace}))
 }
 
 // Write takes one line. It never fails and never waits for the output.
@@ -74,7 +80,7 @@
 			return
 		}
 		if d := w.Dropped(); d != reported {
-			fmt.Fprintf(w, "level=WARN msg=\"log lines dropped\" dropped=%d total=%d\n", d-reported, d)
+			fmt.Fprintf(w, "level=WARN event=\"log lines dropped\" dropped=%d total=%d\n", d-reported, d)
 			reported = d
 		}
 		w.Flush()
--- /dev/null
+++ b/toucanmesh/bench_test.go
@@ -0,0 +1,42 @@
+package toucanmesh_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// BenchmarkPass sends one request after the other on a kept connection: to the
+// backend server beside the node, and through another node.
+func BenchmarkPass(b *testing.B) {
+	for _, remote := range []bool{false, true} {
+		b.Run(fmt.Sprintf("remote=%v", remote), func(b *testing.B) {
+			s := newSite(b, safeRoute())
+			service := "orders"
+			if remote {
+				service = "stock"
+				s.start("home", "orders")
+			}
+			entry := s.start("entry", service)
+			entry.served("/read/")
+			c, err := net.Dial("tcp", entry.settings.CallerAddress)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, err := io.WriteString(c, text("GET", "/read/1", fmt.Sprintf("b%d", i), 3*time.Second, "")); err != nil {
+					b.Fatal(err)
+				}
+				if got := readAnswer(r); got.status != 200 {
+					b.Fatal(got)
+				}
+			}
+		})
+	}
+}
--- a/toucanmesh/harness_test.go
+++ b/toucanmesh/harness_test.go
@@ -16,12 +16,13 @@
 	"toucanhaven/platform"
 	"toucanhaven/platform/platformtest"
 	"toucanhaven/toucanclock"
+	"toucanhaven/toucanlog"
 	"toucanhaven/toucanmesh"
 )
 
 // site is a deployment of nodes, backend servers and a store.
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	store *platformtest.Store
 	logs  *lockedBuffer
 }
@@ -43,7 +44,7 @@
 	return l.b.String()
 }
 
-func newSite(t *testing.T, routes ...platformtest.Route) *site {
+func newSite(t testing.TB, routes ...platformtest.Route) *site {
 	s := &site{t: t, store: platformtest.NewStore(t), logs: &lockedBuffer{}}
 	if len(routes) > 0 {
 		s.configure(2, routes...)
@@ -104,7 +105,7 @@
 	t := m.site.t
 	node, err := toucanmesh.New(toucanmesh.Options{
 		Settings: m.settings, Store: platform.NewStore(m.settings.StoreAddress), Clock: toucanclock.System{},
-		Log: slog.New(slog.NewTextHandler(m.site.logs, nil)).With("at", m.settings.Node),
+		Log: toucanlog.NewLogger(m.site.logs, slog.LevelInfo).With("at", m.settings.Node),
 		Dialect: toucanmesh.Dialect{
 			Headers: platform.Headers(), ConfigKey: platform.ConfigKey, Decode: platform.DecodeConfig,
 			Control: func(n *toucanmesh.Node, log *slog.Logger) http.Handler { return platform.ControlHandler(n, log) },
@@ -137,12 +138,12 @@
 	})
 }
 
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	within(t, what, 5*time.Second, f)
 }
 
-func within(t *testing.T, what string, d time.Duration, f func() bool) {
+func within(t testing.TB, what string, d time.Duration, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if f() {
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"log/slog"
 	"net"
@@ -437,14 +436,3 @@
 	wait.Wait()
 	return errors.Join(errs...)
 }
-
-// NewLogger returns a logger that writes one line of key=value pairs per event.
-func NewLogger(w io.Writer, level slog.Level) *slog.Logger {
-	replace := func(groups []string, a slog.Attr) slog.Attr {
-		if a.Key == slog.MessageKey && len(groups) == 0 {
-			a.Key = "event"
-		}
-		return a
-	}
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: replace}))
-}
--- a/toucannode/node_test.go
+++ b/toucannode/node_test.go
@@ -17,6 +17,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclass"
+	"toucanhaven/toucanlog"
 	"toucanhaven/toucansettings"
 )
 
@@ -73,7 +74,7 @@
 	f.t.Helper()
 	o := f.parts
 	o.Settings, o.Directory, o.ClassFiles = f.settings, f.directory, f.files
-	o.Logger = NewLogger(f.log, slog.LevelDebug)
+	o.Logger = toucanlog.NewLogger(f.log, slog.LevelDebug)
 	n, err := New(o)
 	if err != nil {
 		f.t.Fatal(err)
--- a/toucannode/plane_test.go
+++ b/toucannode/plane_test.go
@@ -17,6 +17,7 @@
 	"toucanhaven/toucancall"
 	"toucanhaven/toucankv"
 	"toucanhaven/toucankvtest"
+	"toucanhaven/toucanlog"
 )
 
 // plane is a set of nodes that find each other through the KV and net/rpc.
@@ -38,7 +39,7 @@
 func (p *plane) start(service, name string) *Node {
 	p.t.Helper()
 	n, err := New(Options{
-		Settings: p.settings, Logger: NewLogger(p.log, slog.LevelDebug),
+		Settings: p.settings, Logger: toucanlog.NewLogger(p.log, slog.LevelDebug),
 		KV: toucankv.NewClient(p.address, toucankv.WithTimeout(500*time.Millisecond)),
 	})
 	if err != nil {
