--- /dev/null
+++ b/toucanfleet/choose_test.go
@@ -0,0 +1,128 @@
+package toucanfleet
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/toucancall"
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanpeer"
+)
+
+type idle struct{}
+
+func (idle) Report() toucanpeer.Report { return toucanpeer.Report{} }
+
+// newFleet returns a fleet in data centre "a" with connected members of the
+// service "s"; their data centres are the letters.
+func newFleet(dcs string) (*Fleet, *toucanclock.Manual) {
+	clock := toucanclock.NewManual(time.Unix(1000, 0))
+	f := New(Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Self: toucanpeer.Member{Node: "self", Address: "self", DataCentre: "a", Service: "other"}, Local: idle{}})
+	for i, dc := range dcs {
+		n := &node{
+			link: toucanpeer.NewLink("127.0.0.1:1", func() toucanpeer.Hello { return toucanpeer.Hello{} }, nil, f), up: true, listed: true,
+			report: toucanpeer.Report{Serving: true, Limit: 10}, reported: clock.Now(),
+		}
+		m := toucanpeer.Member{Node: fmt.Sprint(i), Address: fmt.Sprint(i), DataCentre: string(dc), Service: "s", Serving: true}
+		f.nodes[m.Address] = n
+		f.setMember(n, m)
+	}
+	return f, clock
+}
+
+// share returns the part of the calls that go to each member.
+func share(f *Fleet, done func(t Target)) map[string]float64 {
+	const calls = 1000
+	counts := make(map[string]float64)
+	for range calls {
+		t, ok := f.Choose("s", "r", time.Second, nil)
+		if ok {
+			counts[t.Node] += 1.0 / calls
+			done(t)
+		}
+	}
+	return counts
+}
+
+func TestNearMembersComeFirst(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFleet("abb")
+	answered := func(t Target) {
+		f.Done(t, "r", 50*time.Millisecond, toucanpeer.Result{Outcome: toucancall.Answered, Status: 200})
+	}
+	is.True(share(f, answered)["0"] > 0.95)
+	f.nodes["0"].others = 10 // full
+	is.True(share(f, answered)["0"] < 0.1)
+	f.nodes["0"].others = 0
+	f.nodes["0"].report.Failures = 0.5
+	is.True(share(f, answered)["0"] < 0.1)
+	f.nodes["0"].report.Failures = 0
+	f.nodes["0"].report.Duration, f.nodes["1"].report.Duration, f.nodes["2"].report.Duration = 900*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
+	f.routes["r"] = routeStats{latency: 0.4}
+	is.True(share(f, answered)["0"] < 0.1) // slow
+}
+
+func TestLoadIsSpread(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFleet("bbb")
+	inFlight := 0
+	shares := share(f, func(t Target) {
+		if inFlight++; inFlight > 12 { // the rest ends at once
+			f.Done(t, "r", time.Millisecond, toucanpeer.Result{Outcome: toucancall.Answered, Status: 200})
+		}
+	})
+	for _, s := range shares {
+		is.True(s > 0.2)
+	}
+}
+
+func TestMembersThatCannotServeAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFleet("aaa")
+	f.nodes["0"].up = false
+	f.nodes["1"].report.Serving = false
+	target, ok := f.Choose("s", "r", time.Second, nil)
+	is.True(ok)
+	is.Equal(target.Node, "2")
+	_, ok = f.Choose("s", "r", time.Second, []string{"2"})
+	is.True(!ok)
+	_, ok = f.Choose("nobody", "r", time.Second, nil)
+	is.True(!ok)
+	is.Equal(f.Serving("s"), 1)
+}
+
+// A lapsed entry is no evidence that a connected member is gone.
+func TestUnlistedMemberThatAnswersStays(t *testing.T) {
+	is := is.New(t)
+	f, clock := newFleet("ab")
+	f.List(nil)
+	clock.Advance(time.Minute)
+	f.tick()
+	is.Equal(f.Serving("s"), 2)
+	f.nodes["0"].up = false
+	f.tick()
+	is.Equal(len(f.byService["s"]), 1)
+}
+
+// A node that has restarted hears of a departure before its restart, also after
+// it has said who it is now.
+func TestDepartureIsRemembered(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFleet("a")
+	m := f.nodes["0"].member
+	m.Instance, m.Born = "i-1", 100
+	f.Introduce(m)
+	m.Left, m.Serving = true, false
+	f.Introduce(m)
+	fresh := toucanpeer.Member{Node: "0", Address: "0", DataCentre: "a", Service: "s"}
+	f.Introduce(fresh)
+	is.Equal(f.Known("0").Instance, "i-1")
+	is.True(f.Known("0").Left)
+	fresh.Instance, fresh.Born = "i-2", 200
+	f.Introduce(fresh)
+	is.Equal(f.Known("0").Instance, "i-2")
+}
