--- /dev/null
+++ b/toucanmesh/metrics.go
@@ -0,0 +1,45 @@
+package toucanmesh
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meter counts outcomes and serves them as text.
+type meter struct{ set *metrics.Set }
+
+func newMeter() *meter { return &meter{set: metrics.NewSet()} }
+
+// Observe counts a request of a route.
+func (m *meter) Observe(route string, status int, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`toucan_requests_total{route=%q,status="%d"}`, route, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`toucan_request_seconds{route=%q}`, route)).Update(took.Seconds())
+}
+
+// watch adds the gauges of a node.
+func (m *meter) watch(n *Node) {
+	gauge := func(name string, f func() float64) { m.set.NewGauge("toucan_"+name, f) }
+	gauge("backend_running", func() float64 { return float64(n.runner.Report().Running) })
+	gauge("backend_queued", func() float64 { return float64(n.runner.Report().Queued) })
+	gauge("backend_limit", func() float64 { return float64(n.runner.Report().Limit) })
+	gauge("backend_failure_share", func() float64 { return n.runner.Report().Failures })
+	gauge("pressure_below", n.entry.Pressure)
+	gauge("requests_active", func() float64 { return float64(n.server.Active()) })
+	gauge("members", func() float64 { return float64(n.fleet.Size()) })
+	gauge("configuration_version", func() float64 { return float64(n.version()) })
+	gauge("log_lines_dropped", func() float64 { return float64(n.dropped()) })
+	gauge("store_lost", func() float64 {
+		n.member.mu.Lock()
+		defer n.member.mu.Unlock()
+		if n.member.lost {
+			return 1
+		}
+		return 0
+	})
+}
+
+// ServeHTTP writes all metrics.
+func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -12,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"toucanhaven/toucanbackend"
 	"toucanhaven/toucanclock"
 	"toucanhaven/toucanentry"
@@ -37,19 +35,6 @@
 	backendSlackShare = 0.4
 	entryRatioShare   = 0.2
 	entrySlackShare   = 0.2
-	// stopIdle is how long a stopping node must have been idle before it goes on,
-	// and stopMin the least time it serves callers: the platform asks for
-	// readiness once a second and takes a node out after two misses.
-	stopIdle = 100 * time.Millisecond
-	stopMin  = 2200 * time.Millisecond
-	// stopMax is when callers that still come are refused, so that what was begun
-	// can end within the grace time.
-	stopMax  = 3 * time.Second
-	stopPoll = 20 * time.Millisecond
-	// leaveMin is the time that other nodes get to hear that this one leaves.
-	leaveMin = 200 * time.Millisecond
-	// stopReserve is the part of the grace time that is left for ending.
-	stopReserve = 500 * time.Millisecond
 	// settingsPoll is the time between looks at the settings file, which may
 	// change without a signal.
 	settingsPoll = time.Second
@@ -225,59 +210,6 @@
 // Ready reports whether callers may be sent to this node.
 func (n *Node) Ready() bool { return !n.stopping.Load() && n.entry.Table.Load() != nil }
 
-// Stop ends the node in order: callers are sent elsewhere while the backend
-// server goes on working for other nodes, then those are sent elsewhere too.
-// It takes at most the grace time.
-func (n *Node) Stop() {
-	began := n.clock.Now()
-	end := began.Add(n.settings.Load().Grace.Duration - stopReserve)
-	n.log.Info("stop", "active", n.server.Active(), "running", n.running())
-	n.stopping.Store(true)
-	n.server.Drain()
-	n.awaitIdle(stopMin, began.Add(stopMax), func() bool { return n.server.Active() == 0 })
-	n.leaving.Store(true)
-	n.entry.Refuse()
-	n.changed()
-	n.awaitIdle(leaveMin, end, func() bool { return n.server.Active() == 0 && n.running() == 0 })
-	n.log.Info("stopped", "active", n.server.Active(), "running", n.running(), "took", n.clock.Now().Sub(began))
-	n.unregister()
-	n.Kill()
-}
-
-// Kill ends the node at once.
-func (n *Node) Kill() {
-	close(n.stop)
-	for _, l := range n.listeners {
-		l.Close()
-	}
-	for _, srv := range n.servers {
-		srv.Close()
-	}
-	n.server.Close()
-	n.fleet.Close()
-}
-
-// awaitIdle waits until the node has been idle for some time and at least the
-// minimum has passed, or until the end.
-func (n *Node) awaitIdle(atLeast time.Duration, end time.Time, idle func() bool) {
-	began := n.clock.Now()
-	since := began
-	for now := began; now.Before(end); now = n.clock.Now() {
-		if !idle() {
-			since = now
-		}
-		if now.Sub(since) >= stopIdle && now.Sub(began) >= atLeast {
-			return
-		}
-		time.Sleep(stopPoll)
-	}
-}
-
-func (n *Node) running() int {
-	r := n.runner.Report()
-	return r.Running + r.Queued
-}
-
 func (n *Node) bounds() toucanserve.Bounds {
 	t := n.entry.Table.Load()
 	if t == nil {
@@ -322,39 +254,3 @@
 		n.changed()
 	}
 }
-
-// meter counts outcomes and serves them as text.
-type meter struct{ set *metrics.Set }
-
-func newMeter() *meter { return &meter{set: metrics.NewSet()} }
-
-// Observe counts a request of a route.
-func (m *meter) Observe(route string, status int, took time.Duration) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`toucan_requests_total{route=%q,status="%d"}`, route, status)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`toucan_request_seconds{route=%q}`, route)).Update(took.Seconds())
-}
-
-// watch adds the gauges of a node.
-func (m *meter) watch(n *Node) {
-	gauge := func(name string, f func() float64) { m.set.NewGauge("toucan_"+name, f) }
-	gauge("backend_running", func() float64 { return float64(n.runner.Report().Running) })
-	gauge("backend_queued", func() float64 { return float64(n.runner.Report().Queued) })
-	gauge("backend_limit", func() float64 { return float64(n.runner.Report().Limit) })
-	gauge("backend_failure_share", func() float64 { return n.runner.Report().Failures })
-	gauge("pressure_below", n.entry.Pressure)
-	gauge("requests_active", func() float64 { return float64(n.server.Active()) })
-	gauge("members", func() float64 { return float64(n.fleet.Size()) })
-	gauge("configuration_version", func() float64 { return float64(n.version()) })
-	gauge("log_lines_dropped", func() float64 { return float64(n.dropped()) })
-	gauge("store_lost", func() float64 {
-		n.member.mu.Lock()
-		defer n.member.mu.Unlock()
-		if n.member.lost {
-			return 1
-		}
-		return 0
-	})
-}
-
-// ServeHTTP writes all metrics.
-func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
