--- a/toucanentry/throttle.go
+++ b/toucanentry/throttle.go
@@ -25,10 +25,13 @@
 	// to depend on what is short, and failureMin their least number.
 	failureHalfLife = 5 * time.Second
 	failureMin      = 2
-	// pressureGain is the weight of a new call in the pressure of a service, and
-	// pressureTime how long the last one counts.
-	pressureGain = 0.03
+	// pressureGain is the weight of a new report in the pressure below a service,
+	// and pressureTime how long the last one counts.
+	pressureGain = 0.3
 	pressureTime = time.Second
+	// pressureCalls is the number of calls that the share of refusals is taken of
+	// besides those made, so that one refusal is no shortage.
+	pressureCalls = 20
 	// pressureMin is the pressure from which requests are held back.
 	pressureMin = 0.03
 )
@@ -61,11 +64,40 @@
 	return min(1, max(throttleFloor, throttleFactor*c.answers/c.requests))
 }
 
-// pressure is the share of calls to a service that are refused for overload,
-// at the service or below it.
+// pressure is what is known of the calls to a service: how many are refused for
+// overload there, and what its nodes report of the calls below them.
 type pressure struct {
-	share   float64
-	updated time.Time
+	calls, refusals float64
+	below           float64
+	updated         time.Time
+}
+
+// at returns the share of calls that are refused, at the service or below it.
+// It falls with time when nothing is refused, however few calls there are.
+func (p *pressure) at(now time.Time) float64 {
+	if p == nil {
+		return 0
+	}
+	age := now.Sub(p.updated)
+	if age > pressureTime {
+		return 0
+	}
+	fade := math.Exp2(-age.Seconds() / throttleHalfLife.Seconds())
+	return max(p.refusals*fade/(p.calls*fade+pressureCalls), p.below)
+}
+
+func (p *pressure) note(refused bool, below float64, now time.Time) {
+	age := now.Sub(p.updated)
+	if age > pressureTime {
+		*p = pressure{}
+	}
+	fade := math.Exp2(-age.Seconds() / throttleHalfLife.Seconds())
+	p.calls, p.refusals = p.calls*fade+1, p.refusals*fade
+	if refused {
+		p.refusals++
+	}
+	p.below += pressureGain * (below - p.below)
+	p.updated = now
 }
 
 // admit counts a request and reports whether it may go on, with the part of the
@@ -79,10 +111,8 @@
 	c.requests++
 	p := t.services[service]
 	c.priority = r.Priority
-	c.pressed = p != nil && now.Sub(p.updated) <= pressureTime && p.share >= pressureMin
-	if p != nil {
-		share = p.share
-	}
+	c.pressed = p.at(now) >= pressureMin
+	share = p.at(now)
 	admitted = c.admitted()
 	if c.pressed && c.failures >= failureMin {
 		for _, other := range t.routes {
@@ -138,30 +168,20 @@
 func (t *throttle) note(service string, r toucanpeer.Result, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	seen := r.Report.Pressure
-	if r.Outcome == toucancall.NotRun && r.Reason == toucancall.ReasonOverload {
-		seen = 1
-	}
+	refused := r.Outcome == toucancall.NotRun && r.Reason == toucancall.ReasonOverload
 	if t.services == nil {
 		t.services, t.below = make(map[string]*pressure), make(map[string]*pressure)
 	}
-	notePressure(t.services, service, seen, now)
+	seen := []map[string]*pressure{t.services}
 	if r.Child {
-		notePressure(t.below, service, seen, now)
+		seen = append(seen, t.below)
 	}
-}
-
-func notePressure(m map[string]*pressure, service string, seen float64, now time.Time) {
-	p := m[service]
-	if p == nil {
-		p = &pressure{}
-		m[service] = p
-	}
-	if now.Sub(p.updated) > pressureTime {
-		p.share = 0
+	for _, m := range seen {
+		if m[service] == nil {
+			m[service] = &pressure{}
+		}
+		m[service].note(refused, r.Report.Pressure, now)
 	}
-	p.share += pressureGain * (seen - p.share)
-	p.updated = now
 }
 
 // Pressure is the highest pressure of the services that the backend server of
@@ -173,9 +193,7 @@
 	defer e.throttle.mu.Unlock()
 	highest := 0.0
 	for _, p := range e.throttle.below {
-		if now.Sub(p.updated) <= pressureTime {
-			highest = max(highest, p.share)
-		}
+		highest = max(highest, p.at(now))
 	}
 	return highest
 }
