--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -151,17 +151,20 @@
 	return string(data[max(0, len(data)-4000):])
 }
 
-// start runs the program, which testscript puts on the path.
+// start runs the program, which testscript puts on the path, unless it runs.
 func (n *soakNode) start(t *testing.T) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil {
+		return
+	}
 	cmd := exec.Command("toucanhaven", "mesh", "--settings", filepath.Join(n.dir, "mesh.toml"))
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	if err := cmd.Start(); err != nil {
 		t.Error(err)
 		return
 	}
-	n.mu.Lock()
 	n.cmd = cmd
-	n.mu.Unlock()
 }
 
 // soakGrace is the time that a process has to end after SIGTERM: its grace time
@@ -237,20 +240,22 @@
 
 func (s *soak) awaitService(when string) {
 	s.t.Helper()
+	var bad []string
 	for end := time.Now().Add(soakSettle); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		good := 0
+		bad = nil
 		for _, n := range s.nodes {
 			for _, kind := range []string{"order", "read"} {
-				if s.ask(n, kind, fmt.Sprintf("w%d", time.Now().UnixNano()), s.rng.IntN(2) == 0) == http.StatusOK {
-					good++
+				id := fmt.Sprintf("w%d", time.Now().UnixNano())
+				if status := s.ask(n, kind, id, s.rng.IntN(2) == 0); status != http.StatusOK {
+					bad = append(bad, fmt.Sprintf("%s %s %s: %d", n.name, kind, id, status))
 				}
 			}
 		}
-		if good == 2*len(s.nodes) {
+		if bad == nil {
 			return
 		}
 	}
-	s.t.Errorf("%s: not every node serves within %v", when, soakSettle)
+	s.t.Errorf("%s: not every node serves within %v: %v", when, soakSettle, bad)
 }
 
 // call sends requests until the end, over kept and new connections.
@@ -336,9 +341,9 @@
 		link := []*platformtest.Proxy{n.peers, n.storeLink}[s.rng.IntN(2)]
 		switch s.rng.IntN(10) {
 		case 0:
-			series.Go(func() { n.end(s.t, syscall.SIGKILL); time.Sleep(pause / 3); n.restart(s.t) })
+			series.Go(func() { n.end(s.t, syscall.SIGKILL); time.Sleep(pause / 3); n.start(s.t) })
 		case 1:
-			series.Go(func() { n.end(s.t, syscall.SIGTERM); n.restart(s.t) })
+			series.Go(func() { n.end(s.t, syscall.SIGTERM); n.start(s.t) })
 		case 2:
 			series.Go(func() { n.pause(pause) })
 		case 3:
@@ -362,16 +367,6 @@
 	series.Wait()
 }
 
-// restart starts the process unless another series of faults has.
-func (n *soakNode) restart(t *testing.T) {
-	n.mu.Lock()
-	running := n.cmd != nil
-	n.mu.Unlock()
-	if !running {
-		n.start(t)
-	}
-}
-
 // replace lets the backend server of a node leave and a new start take its place.
 func (s *soak) replace(n *soakNode) {
 	n.mu.Lock()
