--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -86,6 +86,8 @@
 	storeLink          *platformtest.Proxy
 	log                *os.File
 
+	life sync.Mutex // held from the end of a process to the start of the next
+
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	leftAt   time.Time // departure acknowledged; zero while the server serves
@@ -151,13 +153,10 @@
 	return string(data[max(0, len(data)-4000):])
 }
 
-// start runs the program, which testscript puts on the path, unless it runs.
+// start runs the program, which testscript puts on the path.
 func (n *soakNode) start(t *testing.T) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cmd != nil {
-		return
-	}
 	cmd := exec.Command("toucanhaven", "mesh", "--settings", filepath.Join(n.dir, "mesh.toml"))
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	if err := cmd.Start(); err != nil {
@@ -189,6 +188,15 @@
 	late.Stop()
 }
 
+// restart ends the process and starts it again after some time.
+func (n *soakNode) restart(t *testing.T, sig syscall.Signal, after time.Duration) {
+	n.life.Lock()
+	defer n.life.Unlock()
+	n.end(t, sig)
+	time.Sleep(after)
+	n.start(t)
+}
+
 // pause stops the process for some time, also when it is told to end meanwhile.
 func (n *soakNode) pause(d time.Duration) {
 	n.mu.Lock()
@@ -341,9 +349,9 @@
 		link := []*platformtest.Proxy{n.peers, n.storeLink}[s.rng.IntN(2)]
 		switch s.rng.IntN(10) {
 		case 0:
-			series.Go(func() { n.end(s.t, syscall.SIGKILL); time.Sleep(pause / 3); n.start(s.t) })
+			series.Go(func() { n.restart(s.t, syscall.SIGKILL, pause/3) })
 		case 1:
-			series.Go(func() { n.end(s.t, syscall.SIGTERM); n.start(s.t) })
+			series.Go(func() { n.restart(s.t, syscall.SIGTERM, 0) })
 		case 2:
 			series.Go(func() { n.pause(pause) })
 		case 3:
