toucanmesh, toucanbackend, toucanentry: derive state once

The number of services that calls come from was counted anew under the lock for each call; the record of a departure stood as a whole member; a group of goroutines that nobody waited for; the pressure was read twice. Behaviour is unchanged.

--- a/toucanbackend/origins.go
+++ b/toucanbackend/origins.go
@@ -18,8 +18,9 @@
 // come from the nodes of their own services only. Its zero value is ready to
 // use.
 type origins struct {
-	routes map[string]map[string]int // calls by route and service of the VM they come from
-	halved time.Time
+	routes   map[string]map[string]int // calls by route and service of the VM they come from
+	services map[string]struct{}       // services in routes
+	halved   time.Time
 }
 
 // note counts a call and reports whether its route carries calls of backend
@@ -33,35 +34,29 @@
 	counts := o.routes[route]
 	if counts == nil {
 		if o.routes == nil {
-			o.routes = make(map[string]map[string]int)
+			o.routes, o.services = make(map[string]map[string]int), make(map[string]struct{})
 		}
 		counts = make(map[string]int)
 		o.routes[route] = counts
 	}
 	counts[service]++
+	o.services[service] = struct{}{}
 	total := 0
 	for _, n := range counts {
 		total += n
 	}
-	all := o.services()
+	all := len(o.services)
 	return total >= originMin && all >= originServices && 2*len(counts) <= all
 }
 
-func (o *origins) services() int {
-	seen := make(map[string]struct{})
-	for _, counts := range o.routes {
-		for service := range counts {
-			seen[service] = struct{}{}
-		}
-	}
-	return len(seen)
-}
-
 func (o *origins) halve() {
+	clear(o.services)
 	for route, counts := range o.routes {
 		for service := range counts {
 			if counts[service] /= 2; counts[service] == 0 {
 				delete(counts, service)
+			} else {
+				o.services[service] = struct{}{}
 			}
 		}
 		if len(counts) == 0 {
--- a/toucanentry/throttle.go
+++ b/toucanentry/throttle.go
@@ -109,10 +109,8 @@
 	defer t.mu.Unlock()
 	c := t.tally(r.Name, now)
 	c.requests++
-	p := t.services[service]
-	c.priority = r.Priority
-	c.pressed = p.at(now) >= pressureMin
-	share = p.at(now)
+	share = t.services[service].at(now)
+	c.priority, c.pressed = r.Priority, share >= pressureMin
 	admitted = c.admitted()
 	if c.pressed && c.failures >= failureMin {
 		for _, other := range t.routes {
--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -37,14 +37,15 @@
 	heartbeats int
 	first      time.Time // arrival of the first heartbeat
 	last       toucanbackend.Heartbeat
-	departed   toucanpeer.Member // backend server that has left
-	recorded   departure         // newest one that is remembered elsewhere
-	witness    toucanpeer.Member // what a node said of this one
+	departed   departure // backend server that has left before this start
+	recorded   departure // newest one that is remembered elsewhere
 
+	// What the last node said of the backend server, and its address.
+	witness     departure
 	witnessAddr string
 }
 
-// departure is the record of a backend server that leaves.
+// departure names one start of a backend server, as the record that it left.
 type departure struct {
 	Instance string `json:"instance"`
 	Born     int64  `json:"born"`
@@ -86,7 +87,7 @@
 	if n.startup.last.Born <= h.Born {
 		n.startup.last = *h
 	}
-	if n.startup.departed.Instance == h.Instance && n.startup.departed.Born == h.Born {
+	if n.startup.departed == (departure{h.Instance, h.Born}) {
 		h.State = toucanbackend.Draining
 	}
 	return n.startup.settled || h.State == toucanbackend.Draining
@@ -156,7 +157,7 @@
 		switch {
 		case errors.Is(err, toucanstore.ErrNotFound):
 			sleep(ctx, witnessTime)
-			n.settle(toucanpeer.Member{}, "store")
+			n.settle(departure{}, "store")
 			n.resume(ctx)
 			return
 		case err == nil:
@@ -164,7 +165,7 @@
 			if err := json.Unmarshal(item.Value, &d); err != nil {
 				n.log.Error("unreadable departure", "key", item.Key, "err", err)
 			}
-			n.settle(toucanpeer.Member{Instance: d.Instance, Born: d.Born}, "store")
+			n.settle(d, "store")
 			return
 		}
 		if n.isSettled() {
@@ -200,27 +201,27 @@
 func (n *Node) told(addr string, m toucanpeer.Member) {
 	switch {
 	case m.Left:
-		n.settle(m, "peer")
-	case m.Instance != "" && n.witness(addr, m):
-		n.settle(toucanpeer.Member{}, "peer")
+		n.settle(departure{m.Instance, m.Born}, "peer")
+	case m.Instance != "" && n.witness(addr, departure{m.Instance, m.Born}):
+		n.settle(departure{}, "peer")
 		n.takeUp(m)
 	}
 }
 
 // witness reports whether another node said the same before.
-func (n *Node) witness(addr string, m toucanpeer.Member) bool {
+func (n *Node) witness(addr string, d departure) bool {
 	n.startup.mu.Lock()
 	defer n.startup.mu.Unlock()
-	same := n.startup.witness.Instance == m.Instance && n.startup.witness.Born == m.Born && n.startup.witnessAddr != addr
-	n.startup.witness, n.startup.witnessAddr = m, addr
-	return same && n.startup.departed.Instance != m.Instance
+	same := n.startup.witness == d && n.startup.witnessAddr != addr
+	n.startup.witness, n.startup.witnessAddr = d, addr
+	return same && n.startup.departed.Instance != d.Instance
 }
 
 // takeUp uses a backend server without waiting for its next heartbeat.
 func (n *Node) takeUp(m toucanpeer.Member) {
 	s := n.settings.Load()
 	n.startup.mu.Lock()
-	left := n.startup.departed.Instance == m.Instance && n.startup.departed.Born == m.Born
+	left := n.startup.departed == departure{m.Instance, m.Born}
 	n.startup.mu.Unlock()
 	if m.Instance == "" || m.Left || left || m.Service != s.Service || n.runner.Server().Instance != "" {
 		return
@@ -239,7 +240,7 @@
 
 // settle ends the wait for departures and takes the heartbeat that was held
 // back.
-func (n *Node) settle(departed toucanpeer.Member, source string) {
+func (n *Node) settle(departed departure, source string) {
 	n.startup.mu.Lock()
 	before := n.startup.settled
 	n.startup.settled = true
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +93,6 @@
 	stop      chan struct{}
 	listeners []net.Listener
 	servers   []*http.Server
-	tasks     sync.WaitGroup
 }
 
 // New returns a node that listens on its addresses. Start must be called.
@@ -169,15 +167,15 @@
 			return err
 		}
 	}
-	n.tasks.Go(func() { n.logError(toucanpeer.Serve(peers, (*host)(n), n.log)) })
-	n.tasks.Go(func() { n.logError(n.server.Serve(callers)) })
-	n.tasks.Go(func() { n.fleet.Run(n.stop) })
+	go func() { n.logError(toucanpeer.Serve(peers, (*host)(n), n.log)) }()
+	go func() { n.logError(n.server.Serve(callers)) }()
+	go n.fleet.Run(n.stop)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-n.stop; cancel() }()
-	n.tasks.Go(func() { n.recoverDeparture(ctx); n.register(ctx) })
-	n.tasks.Go(func() { n.followConfig(ctx) })
-	n.tasks.Go(func() { n.followMembers(ctx) })
-	n.tasks.Go(func() { n.pollSettings() })
+	go func() { n.recoverDeparture(ctx); n.register(ctx) }()
+	go n.followConfig(ctx)
+	go n.followMembers(ctx)
+	go n.pollSettings()
 	return nil
 }
 
