toucanmember: find a service again whose only member was replaced

Cause: a new member waited 3 to 13 s, by the hash of its address, before it replaced contacts that are all gone, and an entry read the contacts with pauses that grow to 30 s. Together an entry could need over 30 s.

A member now waits 3 to 8 s while no contact is alive, and an entry reads every 5 s at most while the KV answers.

--- a/toucanmember/entry.go
+++ b/toucanmember/entry.go
@@ -24,9 +24,12 @@
 	// maxDoubts is the number of members that must doubt their own view, or not
 	// answer after one that does, before an entry believes a doubted view.
 	maxDoubts = 2
-	// contactsPause and contactsMax bound the pause between reads of the contacts.
+	// contactsPause and contactsMax bound the pause between reads of the contacts,
+	// and answeredMax the one while the KV answers: the contacts of a service that
+	// was replaced change within seconds.
 	contactsPause = time.Second
 	contactsMax   = 30 * time.Second
+	answeredMax   = 5 * time.Second
 )
 
 // Entry is an entry's view of one service that it calls. It is not safe for
@@ -288,7 +291,11 @@
 
 func (e *Entry) contactsRead(c Contacts, now time.Time) {
 	e.reading = false
-	e.readAt = now.Add(e.jitter(min(contactsPause<<min(e.failures, 5), contactsMax)))
+	longest := contactsMax
+	if c.Known {
+		longest = answeredMax
+	}
+	e.readAt = now.Add(e.jitter(min(contactsPause<<min(e.failures, 5), longest)))
 	e.failures++
 	if !c.Known {
 		if !c.FromPeers {
--- a/toucanmember/failure_test.go
+++ b/toucanmember/failure_test.go
@@ -257,6 +257,23 @@
 	}
 }
 
+// Guards against a service that stays unreachable after its only member was
+// replaced at another address.
+func TestOnlyMemberReplaced(t *testing.T) {
+	const foundWithin = 20 * time.Second // also the wait of testdata/script/replace.txtar
+	for seed := range uint64(40) {
+		b := newBus(seed)
+		b.service(1, 3)
+		memberFaults["dead"](b, b.nodes["m0"])
+		b.run(time.Duration(b.random.Int64N(int64(time.Minute))))
+		id := fmt.Sprintf("new%d", seed)
+		b.member(id, "a")
+		if !b.run(foundWithin, func() bool { return b.chosen(id) == 3 }) {
+			t.Errorf("seed %d: %d of 3 entries choose %s after %v", seed, b.chosen(id), id, foundWithin)
+		}
+	}
+}
+
 // Guards against combinations of faults that no table thought of: after any
 // schedule of two faults at a time, members agree again and entries choose
 // every member that runs.
--- a/toucanmember/keeper.go
+++ b/toucanmember/keeper.go
@@ -22,6 +22,9 @@
 	// keeperSpread keeps the keepers of hundreds of services, which a lost data
 	// centre affects at once, from writing in the same second.
 	keeperSpread = 10 * time.Second
+	// lostSpread is the same while no contact is alive, because new entries cannot
+	// find the service then.
+	lostSpread = 5 * time.Second
 	// keeperDelay is how much longer the second keeper waits than the first.
 	keeperDelay = 10 * time.Second
 	// rereadPeriod is how often the first keeper reads the contacts without cause,
@@ -97,20 +100,29 @@
 	if k.badSince.IsZero() {
 		k.badSince = now
 	}
-	if now.Sub(k.badSince) >= time.Duration(rank)*keeperDelay+k.pause(g.self.ID) {
+	if now.Sub(k.badSince) >= time.Duration(rank)*keeperDelay+g.keeperPause() {
 		k.busy = now.Add(kvTimeout)
 		g.emit(WriteContacts{Addresses: want, Index: k.index})
 	}
 }
 
-// pause gives contacts that this member has not met time to answer, and a view
-// that is still growing time to settle. A service without contacts gets its
+// keeperPause gives contacts that this member has not met time to answer, and a
+// view that is still growing time to settle. A service without contacts gets its
 // first one at once.
-func (k *keeper) pause(self string) time.Duration {
-	if len(k.addresses) == 0 {
+func (g *Group) keeperPause() time.Duration {
+	switch {
+	case len(g.keeper.addresses) == 0:
 		return 0
+	case !slices.ContainsFunc(g.keeper.addresses, g.isLive):
+		return keeperPause + spreadOver(lostSpread, g.self.ID)
 	}
-	return keeperPause + spreadOver(keeperSpread, self)
+	return keeperPause + spreadOver(keeperSpread, g.self.ID)
+}
+
+// isLive reports whether the id is a member that runs, as far as is known.
+func (g *Group) isLive(id string) bool {
+	r := g.members[id]
+	return r != nil && (r.State == toucanbalance.Alive || r.State == toucanbalance.Suspect)
 }
 
 // spreadOver returns a share of d that depends on the name.
@@ -184,7 +196,7 @@
 	for _, id := range k.addresses {
 		r := g.members[id]
 		switch {
-		case r != nil && (r.State == toucanbalance.Alive || r.State == toucanbalance.Suspect):
+		case g.isLive(id):
 			live = append(live, id)
 			delete(k.missing, id)
 		case r != nil && (r.left || r.State == toucanbalance.Leaving):
