toucanmesh: let three nodes watch the store for all

All 70 nodes had started their watches at the same moment, with waits of 17 to 30 s, so no new watch began in time. Ruled out: a lost link (the node was connected to all) and an invalid configuration (none was logged).

The three nodes with the lowest hash that reach the store now watch it, each with waits of at most 1.2 s, and announce what they see. The others read the store when they start, and when a listed member stays unreachable. The test with 20 nodes (TestConfigurationReachesManyNodes) fails before: not in force within 2 s.

--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"io"
 	"log/slog"
 	"sync"
 	"time"
@@ -17,6 +19,11 @@
 	// reached is dialled on. A node that was cut off from the store may come back
 	// at its address.
 	unlistedTime = 20 * time.Second
+	// unreachableTime is the silence of a listed member after which the store is
+	// asked whether it is gone.
+	unreachableTime = 3 * time.Second
+	// unlistedHint is how long a connected member is told that it is not listed.
+	unlistedHint = 3 * time.Second
 	// tickTime is the time between looks at the links.
 	tickTime = 50 * time.Millisecond
 )
@@ -51,7 +58,9 @@
 	link     *toucanpeer.Link  // nil for this node itself
 	up       bool
 	listed   bool      // in the store
+	unlisted time.Time // removed from the store
 	seen     time.Time // last listed or connected
+	lost     time.Time // since when the link is down
 	report   toucanpeer.Report
 	reported time.Time
 	others   int // calls of other nodes when the report was made
@@ -118,20 +127,66 @@
 	f.put(m)
 }
 
-// Unlist notes that a member is no longer in the store. A node that answers on
+// Unlist notes that a member was removed from the store. A node that answers on
 // its link stays in use, because a lapsed entry may only mean that the node
-// cannot reach the store.
+// cannot reach the store; it is told.
 func (f *Fleet) Unlist(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for address, n := range f.nodes {
 		if n.member.Node == name && n.link != nil && n.listed {
-			n.listed = false
+			n.listed, n.unlisted = false, f.clock.Now()
 			f.log.Info("member unlisted", "node", name, "address", address, "connected", n.up)
 		}
 	}
 }
 
+// Rank returns how many of the connected nodes that reach the store come before
+// this one.
+func (f *Fleet) Rank() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rank := 0
+	own := rankOf(f.self.Node)
+	for _, n := range f.nodes {
+		if n.link != nil && n.up && n.report.Store && rankOf(n.member.Node) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// rankOf orders nodes evenly over the data centres.
+func rankOf(node string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, node)
+	return h.Sum64()
+}
+
+// Unreachable reports whether a listed member has been unreachable for some time.
+func (f *Fleet) Unreachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, n := range f.nodes {
+		if n.link != nil && n.listed && !n.up && now.Sub(n.lost) > unreachableTime {
+			return true
+		}
+	}
+	return false
+}
+
+// pingTo describes this node to the one at an address.
+func (f *Fleet) pingTo(address string) toucanpeer.Ping {
+	p := f.ping()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.nodes[address]; n != nil && !n.listed {
+		p.Unlisted = f.clock.Now().Sub(n.unlisted) < unlistedHint
+	}
+	return p
+}
+
 // Introduce takes a member that connected to this node.
 func (f *Fleet) Introduce(m toucanpeer.Member) {
 	f.mu.Lock()
@@ -239,8 +294,8 @@
 
 // add creates the node of a member and its link. mu is held.
 func (f *Fleet) add(m toucanpeer.Member) *node {
-	n := &node{seen: f.clock.Now()}
-	n.link = toucanpeer.NewLink(m.Address, f.hello, f.ping, f)
+	n := &node{seen: f.clock.Now(), lost: f.clock.Now()}
+	n.link = toucanpeer.NewLink(m.Address, f.hello, func() toucanpeer.Ping { return f.pingTo(m.Address) }, f)
 	f.nodes[m.Address] = n
 	f.setMember(n, m)
 	f.log.Info("member added", "node", m.Node, "address", m.Address, "service", m.Service)
@@ -307,7 +362,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if n := f.nodes[addr]; n != nil {
-		n.up = false
+		n.up, n.lost = false, f.clock.Now()
 		f.log.Info("peer lost", "node", n.member.Node, "address", addr, "listed", n.listed, "err", err)
 	}
 }
--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -172,7 +172,7 @@
 			return
 		}
 		n.log.Warn("departures not read", "err", err)
-		sleep(ctx, retryTime)
+		sleep(ctx, startRetry)
 	}
 }
 
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -47,6 +47,9 @@
 
 // Ping takes the state of another node and answers with this one's.
 func (h *host) Ping(p toucanpeer.Ping) toucanpeer.Pong {
+	if p.Unlisted {
+		(*Node)(h).noteMissing()
+	}
 	h.fleet.Reported(p.From.Address, &p.From, p.Report)
 	return toucanpeer.Pong{Self: (*Node)(h).self(), Report: h.Report()}
 }
@@ -63,6 +66,7 @@
 func (h *host) stamp(r toucanpeer.Result) toucanpeer.Result {
 	r.Report.Pressure = h.entry.Pressure()
 	r.Report.Version = (*Node)(h).version()
+	r.Report.Store = !h.store.isLost()
 	r.Report.Serving = r.Report.Serving && !h.leaving.Load()
 	return r
 }
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucanhaven/toucanbackend"
@@ -19,25 +21,28 @@
 	// renewTime the time between renewals.
 	leaseTTL  = 5 * time.Second
 	renewTime = 1500 * time.Millisecond
-	// retryTime is the pause after a failed call to the store.
-	retryTime = 300 * time.Millisecond
-	// memberPause collects changes of members between two watches, because each
-	// change ends the watches of all nodes. Connected nodes hear of changes
-	// directly.
-	memberPause = time.Second
+	// startRetry is the pause after a failed call to the store at the start, and
+	// lostRetry the one while it is away: what lapsed meanwhile must be back within
+	// 2 s of its return.
+	startRetry = 300 * time.Millisecond
+	lostRetry  = 700 * time.Millisecond
+	// refreshTime is the time between reads of the members while one that is listed
+	// cannot be reached, to drop those that are gone.
+	refreshTime = 5 * time.Second
 )
 
 // registration keeps this node's member in the store.
 type registration struct {
-	kick      chan struct{} // the member has changed
-	watchKick chan struct{}
+	kick chan struct{} // the member has changed
 
 	mu       sync.Mutex
 	lease    int64
 	revision uint64
 	written  toucanpeer.Member
 	missing  bool // someone removed the key
-	lost     bool // the store does not answer
+
+	unread    atomic.Bool // the members must be read
+	refreshed time.Time   // last read of them for those that are gone; used by register alone
 }
 
 // self describes this node.
@@ -70,6 +75,11 @@
 func (n *Node) changed() {
 	n.fleet.SetSelf(n.self())
 	signal(n.member.kick)
+	n.announce()
+}
+
+// announce tells the connected nodes how this one is now.
+func (n *Node) announce() {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), markTimeout)
 		defer cancel()
@@ -79,12 +89,17 @@
 
 // register keeps the member in the store until ctx ends.
 func (n *Node) register(ctx context.Context) {
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		err := n.registerOnce(ctx)
 		n.noteStore(err)
+		if first {
+			n.member.unread.Store(true)
+		}
 		pause := renewTime
 		if err != nil {
-			pause = retryTime
+			pause = lostRetry
+		} else if n.fleet.Unreachable() {
+			n.refreshMembers(ctx)
 		}
 		t := time.NewTimer(pause)
 		select {
@@ -96,23 +111,6 @@
 	}
 }
 
-// noteStore logs the loss and the return of the store. When it is back, watches
-// start over.
-func (n *Node) noteStore(err error) {
-	n.member.mu.Lock()
-	before := n.member.lost
-	n.member.lost = err != nil
-	n.member.mu.Unlock()
-	switch {
-	case err != nil && !before:
-		n.log.Warn("store lost", "err", err)
-	case err == nil && before:
-		n.log.Info("store regained")
-		signal(n.config.kick)
-		signal(n.member.watchKick)
-	}
-}
-
 // registerOnce renews the lease, or writes the member when it has changed or is
 // gone.
 func (n *Node) registerOnce(ctx context.Context) (err error) {
@@ -150,6 +148,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if lease != r.lease { // others may have come while this node was not listed
+		r.unread.Store(true)
+	}
 	r.lease = lease
 	if err != nil {
 		r.revision = revision
@@ -172,28 +173,40 @@
 	}
 }
 
-// followMembers follows the members in the store.
-func (n *Node) followMembers(ctx context.Context) {
-	list := func(l toucanstore.Listing) {
-		var members []toucanpeer.Member
-		own := false
-		for _, i := range l.Items {
-			if m, ok := n.decodeMember(i); ok {
-				members = append(members, m)
-				own = own || m.Node == n.settings.Load().Node
-			}
-		}
-		n.fleet.List(members)
-		if !own {
-			n.noteMissing()
-		}
+// takeMembers takes the members that the store lists.
+func (n *Node) takeMembers(l toucanstore.Listing) {
+	n.member.unread.Store(false)
+	members := n.decodeMembers(l)
+	n.fleet.List(members)
+	own := n.settings.Load().Node
+	if !slices.ContainsFunc(members, func(m toucanpeer.Member) bool { return m.Node == own }) {
+		n.noteMissing()
 	}
-	event := func(l toucanstore.Listing) {
-		for _, i := range l.Items {
-			n.memberEvent(i)
+}
+
+func (n *Node) decodeMembers(l toucanstore.Listing) (members []toucanpeer.Member) {
+	for _, i := range l.Items {
+		if m, ok := n.decodeMember(i); ok {
+			members = append(members, m)
 		}
 	}
-	n.follow(ctx, memberPrefix, n.member.watchKick, memberPause, list, event)
+	return members
+}
+
+// refreshMembers reads the members to drop those that are gone, unless that was
+// done not long ago. What it reads may be old, which only keeps them longer.
+func (n *Node) refreshMembers(ctx context.Context) {
+	now := n.clock.Now()
+	if now.Sub(n.member.refreshed) < refreshTime {
+		return
+	}
+	n.member.refreshed = now
+	l, err := n.store.List(ctx, memberPrefix, toucanstore.Recent)
+	if err != nil {
+		n.log.Warn("list failed", "prefix", memberPrefix, "err", err)
+		return
+	}
+	n.fleet.List(n.decodeMembers(l))
 }
 
 func (n *Node) memberEvent(i toucanstore.Item) {
--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -330,6 +330,75 @@
 	m.served("/moved/")
 }
 
+// The same in a large deployment, where each node can watch only seldom: a
+// change reaches all of them in time, and few of them call the store for it.
+func TestConfigurationReachesManyNodes(t *testing.T) {
+	const nodes, inForce = 20, 2 * time.Second // inForce is the bound of the platform
+	s := newSite(t, safeRoute())
+	var all []*member
+	for i := range nodes {
+		m := s.prepare(fmt.Sprintf("n%02d", i), "orders")
+		m.run()
+		all = append(all, m)
+	}
+	for _, m := range all {
+		m.beat("ready", http.StatusOK)
+		m.served("/read/")
+	}
+	time.Sleep(2 * time.Second) // nodes that watched at first have stopped
+	before := s.store.Calls("/kv-watch")
+	time.Sleep(time.Second)
+	if calls := s.store.Calls("/kv-watch") - before; calls > nodes {
+		t.Errorf("%d watches started in a second, want at most one for each of %d nodes", calls, nodes)
+	}
+	s.store.SetFault(platformtest.Deaf)
+	moved := safeRoute()
+	moved.Prefix = "/moved/"
+	s.configure(9, moved)
+	s.store.Compact()
+	time.Sleep(500 * time.Millisecond)
+	s.store.SetFault(platformtest.Healthy)
+	within(t, "the change is in force at all nodes", inForce, func() bool {
+		for _, m := range all {
+			if m.ask("GET", "/moved/1", fmt.Sprintf("probe-%d", probes.Add(1))).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A watcher that ends or loses the store is replaced, so that a change still
+// reaches the others.
+func TestWatchersAreReplaced(t *testing.T) {
+	s := newSite(t, safeRoute())
+	other := platformtest.NewStore(t)
+	other.SetFault(platformtest.Busy)
+	var all []*member
+	for i := range 6 {
+		m := s.prepare(fmt.Sprintf("n%d", i), "orders")
+		m.run()
+		m.beat("ready", http.StatusOK)
+		all = append(all, m)
+	}
+	for _, m := range all {
+		m.served("/read/")
+	}
+	for i, m := range all[:4] { // at least one of the three watchers is among them
+		m.kill()
+		if i%2 == 0 {
+			m.settings.StoreAddress = other.Address
+			m.run()
+		}
+	}
+	moved := safeRoute()
+	moved.Prefix = "/moved/"
+	s.configure(9, moved)
+	for _, m := range []*member{all[0], all[2], all[4], all[5]} {
+		m.served("/moved/")
+	}
+}
+
 // A node that is cut off from the store follows the configuration of another.
 func TestConfigurationFromPeer(t *testing.T) {
 	s := newSite(t, safeRoute())
--- a/toucanmesh/metrics.go
+++ b/toucanmesh/metrics.go
@@ -32,9 +32,7 @@
 	gauge("configuration_version", func() float64 { return float64(n.version()) })
 	gauge("log_lines_dropped", func() float64 { return float64(n.dropped()) })
 	gauge("store_lost", func() float64 {
-		n.member.mu.Lock()
-		defer n.member.mu.Unlock()
-		if n.member.lost {
+		if n.store.isLost() {
 			return 1
 		}
 		return 0
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -74,7 +74,7 @@
 	file        string
 	clock       toucanclock.Clock
 	log         *slog.Logger
-	store       toucanstore.Store
+	store       storeLink
 	incarnation uint64
 	settings    atomic.Pointer[Settings]
 
@@ -98,7 +98,7 @@
 // New returns a node that listens on its addresses. Start must be called.
 func New(o Options) (n *Node, err error) {
 	n = &Node{
-		dialect: o.Dialect, file: o.SettingsFile, clock: o.Clock, log: o.Log, store: o.Store,
+		dialect: o.Dialect, file: o.SettingsFile, clock: o.Clock, log: o.Log, store: storeLink{Store: o.Store},
 		incarnation: rand.Uint64(), stop: make(chan struct{}), metrics: newMeter(),
 	}
 	n.dropped = o.Dropped
@@ -112,7 +112,6 @@
 		Siblings: func(service string) int { return n.fleet.Serving(service) },
 	})
 	n.member.kick = make(chan struct{}, 1)
-	n.config.kick, n.member.watchKick = make(chan struct{}, 1), make(chan struct{}, 1)
 	n.fleet = toucanfleet.New(toucanfleet.Options{
 		Clock: o.Clock, Log: o.Log, Self: n.self(), Hello: n.hello, Version: n.version,
 		Ping:  func() toucanpeer.Ping { return toucanpeer.Ping{From: n.self(), Report: (*host)(n).Report()} },
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -51,6 +51,7 @@
 	Failures float64       // recent share of calls without an answer of the backend server
 	Pressure float64       // share of the calls of the backend server that are refused for overload, there or below
 	Version  uint64        // version of the document in force at the node
+	Store    bool          // the node reaches the store
 }
 
 // Member describes a node and the backend server beside it.
@@ -86,6 +87,8 @@
 type Ping struct {
 	From   Member
 	Report Report
+	// Unlisted says that the store no longer lists the receiver.
+	Unlisted bool
 }
 
 // Pong is the answer to a Ping.
--- a/toucanstore/store.go
+++ b/toucanstore/store.go
@@ -25,6 +25,16 @@
 	AsOf  uint64
 }
 
+// Freshness says how old an answer may be. The set is closed.
+type Freshness string
+
+const (
+	// Latest answers hold all writes that were acknowledged before the call.
+	Latest Freshness = "latest"
+	// Recent answers may be seconds old and cost the platform less.
+	Recent Freshness = "recent"
+)
+
 // Any is the expected revision of a write without a condition.
 const Any = ^uint64(0)
 
@@ -35,7 +45,7 @@
 	// Get reads one key; a missing key is ErrNotFound.
 	Get(ctx context.Context, key string) (Item, error)
 	// List reads all keys under a prefix.
-	List(ctx context.Context, prefix string) (Listing, error)
+	List(ctx context.Context, prefix string, f Freshness) (Listing, error)
 	// Watch returns the changes under a prefix after a revision as soon as there
 	// is one, or none after the wait. It fails with ErrCompacted when the history
 	// is no longer kept.
