toucanpeer: name a member in a probe only when it has changed

TestConfigurationReachesManyNodes showed a data race: a hello or document that came after the time-out was decoded into the value that the caller returned. Both are now decoded into a value of their own. TestSilentLinkIsGivenUp failed twice in 7 runs: it closed the connections instead of silencing them, and the link could be down before the call began. It now uses connections that lose what is written to them; 15 runs pass.

--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -295,7 +295,11 @@
 // add creates the node of a member and its link. mu is held.
 func (f *Fleet) add(m toucanpeer.Member) *node {
 	n := &node{seen: f.clock.Now(), lost: f.clock.Now()}
-	n.link = toucanpeer.NewLink(m.Address, f.hello, func() toucanpeer.Ping { return f.pingTo(m.Address) }, f)
+	every := toucanpeer.FarPing
+	if m.DataCentre == f.self.DataCentre {
+		every = toucanpeer.NearPing
+	}
+	n.link = toucanpeer.NewLink(m.Address, every, f.hello, func() toucanpeer.Ping { return f.pingTo(m.Address) }, f)
 	f.nodes[m.Address] = n
 	f.setMember(n, m)
 	f.log.Info("member added", "node", m.Node, "address", m.Address, "service", m.Service)
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -46,12 +46,19 @@
 }
 
 // Ping takes the state of another node and answers with this one's.
-func (h *host) Ping(p toucanpeer.Ping) toucanpeer.Pong {
+func (h *host) Ping(address string, p toucanpeer.Ping) toucanpeer.Pong {
 	if p.Unlisted {
 		(*Node)(h).noteMissing()
 	}
-	h.fleet.Reported(p.From.Address, &p.From, p.Report)
-	return toucanpeer.Pong{Self: (*Node)(h).self(), Report: h.Report()}
+	h.fleet.Reported(address, p.From, p.Report)
+	own := (*Node)(h).ping()
+	return toucanpeer.Pong{Self: own.From, Report: own.Report}
+}
+
+// ping describes this node.
+func (n *Node) ping() toucanpeer.Ping {
+	self := n.self()
+	return toucanpeer.Ping{From: &self, Report: (*host)(n).Report()}
 }
 
 // Document returns the configuration in force.
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -42,6 +42,7 @@
 	missing  bool // someone removed the key
 
 	unread    atomic.Bool // the members must be read
+	read      atomic.Bool // they were read at least once
 	refreshed time.Time   // last read of them for those that are gone; used by register alone
 }
 
@@ -60,9 +61,7 @@
 }
 
 func (n *Node) hello() toucanpeer.Hello {
-	n.member.mu.Lock()
-	defer n.member.mu.Unlock()
-	return toucanpeer.Hello{From: n.self(), WantMembers: n.member.lease == 0}
+	return toucanpeer.Hello{From: n.self(), WantMembers: !n.member.read.Load()}
 }
 
 // backendChanged is told when the backend server starts or stops taking calls.
@@ -176,6 +175,7 @@
 // takeMembers takes the members that the store lists.
 func (n *Node) takeMembers(l toucanstore.Listing) {
 	n.member.unread.Store(false)
+	n.member.read.Store(true)
 	members := n.decodeMembers(l)
 	n.fleet.List(members)
 	own := n.settings.Load().Node
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -114,7 +114,7 @@
 	n.member.kick = make(chan struct{}, 1)
 	n.fleet = toucanfleet.New(toucanfleet.Options{
 		Clock: o.Clock, Log: o.Log, Self: n.self(), Hello: n.hello, Version: n.version,
-		Ping:  func() toucanpeer.Ping { return toucanpeer.Ping{From: n.self(), Report: (*host)(n).Report()} },
+		Ping:  n.ping,
 		Newer: n.fetchConfig, Told: n.told, Local: (*host)(n),
 	})
 	n.entry = &toucanentry.Entry{
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -21,8 +21,10 @@
 	// probed, and silentTime the one after which it is given up.
 	quietTime  = 100 * time.Millisecond
 	silentTime = 350 * time.Millisecond
-	// idlePing is the time between probes of a link without calls.
-	idlePing = time.Second
+	// NearPing and FarPing are the times between probes of a link without calls, in
+	// a data centre and between two.
+	NearPing = time.Second
+	FarPing  = 2 * time.Second
 	// redialMin and redialMax bound the pause between connection attempts.
 	redialMin = 100 * time.Millisecond
 	redialMax = time.Second
@@ -43,6 +45,7 @@
 	addr     string
 	hello    func() Hello
 	ping     func() Ping
+	every    time.Duration // between probes without calls
 	observer Observer
 
 	mu          sync.Mutex
@@ -58,9 +61,10 @@
 	probing atomic.Bool
 }
 
-// NewLink returns a link that is not connected yet; see Tick.
-func NewLink(addr string, hello func() Hello, ping func() Ping, o Observer) *Link {
-	return &Link{addr: addr, hello: hello, ping: ping, observer: o}
+// NewLink returns a link that is not connected yet; see Tick. every is the time
+// between probes while there are no calls.
+func NewLink(addr string, every time.Duration, hello func() Hello, ping func() Ping, o Observer) *Link {
+	return &Link{addr: addr, every: every, hello: hello, ping: ping, observer: o}
 }
 
 // Up reports whether the link is connected.
@@ -97,33 +101,42 @@
 	switch {
 	case l.probing.Load() && quiet > silentTime:
 		conn.fail(errSilent)
-	case !l.probing.Load() && (busy && quiet > quietTime || quiet > idlePing):
-		l.probe(client)
+	case !l.probing.Load() && (busy && quiet > quietTime || quiet > l.every):
+		l.probe(client, conn)
 	}
 }
 
 var errSilent = errors.New("no answer to a probe")
 
-func (l *Link) probe(client *rpc.Client) {
+func (l *Link) probe(client *rpc.Client, conn *watchedConn) {
 	if !l.probing.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer l.probing.Store(false)
 		var pong Pong
-		if client.Call(methodPing, l.ping(), &pong) == nil {
-			l.observer.Reported(l.addr, &pong.Self, pong.Report)
+		if client.Call(methodPing, l.news(conn), &pong) == nil {
+			l.observer.Reported(l.addr, pong.Self, pong.Report)
 		}
 	}()
 }
 
+// news describes this node, without what the other one was told before.
+func (l *Link) news(conn *watchedConn) Ping {
+	p := l.ping()
+	if p.From != nil {
+		p.From = conn.told.news(*p.From, time.Now())
+	}
+	return p
+}
+
 // Announce tells the node how this one is now. It reports whether the node has
 // heard it before ctx ends.
 func (l *Link) Announce(ctx context.Context) bool {
 	l.mu.Lock()
-	client := l.client
+	client, conn := l.client, l.conn
 	l.mu.Unlock()
-	return client != nil && call(ctx, client, methodPing, l.ping(), new(Pong)) == nil
+	return client != nil && call(ctx, client, methodPing, l.news(conn), new(Pong)) == nil
 }
 
 // redial starts a connection attempt unless one is in progress or the pause
@@ -178,7 +191,8 @@
 	}
 	conn = newWatchedConn(nc)
 	client = rpc.NewClient(conn)
-	call := client.Go(methodHello, l.hello(), &reply, make(chan *rpc.Call, 1))
+	var answer HelloReply // a late answer may be decoded after the time-out
+	call := client.Go(methodHello, l.hello(), &answer, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -189,7 +203,7 @@
 		client.Close()
 		return nil, nil, reply, err
 	}
-	return client, conn, reply, nil
+	return client, conn, answer, nil
 }
 
 // await notes the end of the connection.
@@ -322,8 +336,11 @@
 	if client == nil {
 		return d, fmt.Errorf("%s is not connected", l.addr)
 	}
-	err = call(ctx, client, methodDoc, true, &d)
-	return d, err
+	var answer Document // a late answer may be decoded after ctx has ended
+	if err := call(ctx, client, methodDoc, true, &answer); err != nil {
+		return d, fmt.Errorf("fetch the document of %s: %w", l.addr, err)
+	}
+	return answer, nil
 }
 
 func call(ctx context.Context, client *rpc.Client, method string, args, reply any) error {
@@ -341,6 +358,7 @@
 	net.Conn
 	lastRead atomic.Int64 // nanoseconds since opened
 	opened   time.Time
+	told     told
 	done     chan struct{}
 	once     sync.Once
 	cause    error
--- a/toucanpeer/link_test.go
+++ b/toucanpeer/link_test.go
@@ -30,7 +30,7 @@
 	return h.await(q)
 }
 func (h *fakeHost) Hello(Hello) HelloReply { return HelloReply{Incarnation: h.incarnation} }
-func (h *fakeHost) Ping(Ping) Pong         { return Pong{} }
+func (h *fakeHost) Ping(string, Ping) Pong { return Pong{} }
 func (h *fakeHost) Document() Document     { return Document{} }
 
 // quietObserver ignores what a link learns.
@@ -75,16 +75,23 @@
 		t.Fatal(err)
 	}
 	b := &breaker{Listener: l}
-	go Serve(b, h, slog.New(slog.DiscardHandler))
-	link := NewLink(l.Addr().String(), func() Hello { return Hello{} }, func() Ping { return Ping{} }, quietObserver{})
-	t.Cleanup(func() { link.Close(); l.Close(); b.cut() })
+	link := dialled(t, b, h)
+	t.Cleanup(b.cut)
+	return link, b
+}
+
+// dialled returns a link that is connected to a host behind a listener.
+func dialled(t *testing.T, l net.Listener, h Host) *Link {
+	go Serve(l, h, slog.New(slog.DiscardHandler))
+	link := NewLink(l.Addr().String(), NearPing, func() Hello { return Hello{} }, func() Ping { return Ping{} }, quietObserver{})
+	t.Cleanup(func() { link.Close(); l.Close() })
 	for end := time.Now().Add(5 * time.Second); !link.Up(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the link does not connect")
 		}
 		link.Tick(time.Now())
 	}
-	return link, b
+	return link
 }
 
 func TestRunAsksForOutcomeAfterBreak(t *testing.T) {
@@ -162,21 +169,41 @@
 	is.True(b.accepted.Load() <= 3)
 }
 
+// muteConn loses what is written to it once it is silent.
+type muteConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c muteConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// muteListener accepts connections that go silent together.
+type muteListener struct {
+	net.Listener
+	silent atomic.Bool
+}
+
+func (l *muteListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return muteConn{c, &l.silent}, nil
+}
+
 func TestSilentLinkIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	defer l.Close()
+	l := &muteListener{Listener: nl}
 	h := &fakeHost{run: func(ctx context.Context, _ *Call) Result { <-ctx.Done(); return Result{} }}
-	link, b := connected(t, h)
-	b.Listener.Close() // no new connection
-	b.mu.Lock()
-	for _, c := range b.conns { // the kernel still acknowledges, but nobody answers
-		if tcp, ok := c.(*net.TCPConn); ok {
-			tcp.SetReadDeadline(time.Unix(1, 0))
-		}
-	}
-	b.mu.Unlock()
+	link := dialled(t, l, h)
+	l.silent.Store(true)
 	began := time.Now()
 	done := make(chan Result, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -193,3 +220,17 @@
 		}
 	}
 }
+
+// A member is sent on a connection when it has changed, and now and then, because
+// probes of all nodes to all others are most of what an idle deployment sends.
+func TestMemberIsSentOnChange(t *testing.T) {
+	is := is.New(t)
+	var to told
+	m, now := Member{Node: "a", Serving: true}, time.Unix(1000, 0)
+	is.Equal(*to.news(m, now), m)
+	is.True(to.news(m, now.Add(time.Second)) == nil)
+	m.Serving = false
+	is.Equal(*to.news(m, now.Add(2*time.Second)), m)
+	is.True(to.news(m, now.Add(3*time.Second)) == nil)
+	is.Equal(*to.news(m, now.Add(2*time.Second+retellTime)), m)
+}
--- a/toucanpeer/server.go
+++ b/toucanpeer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,7 +18,8 @@
 	Cancel(id string)
 	Await(ctx context.Context, r AwaitRequest) Result
 	Hello(h Hello) HelloReply
-	Ping(p Ping) Pong
+	// Ping takes a ping of the node at an address.
+	Ping(address string, p Ping) Pong
 	Document() Document
 }
 
@@ -82,6 +84,8 @@
 type session struct {
 	host Host
 	ctx  context.Context
+	told told
+	from atomic.Pointer[string] // address of the node that opened the connection
 }
 
 func (s *session) Run(c *Call, r *Result) error {
@@ -100,15 +104,25 @@
 }
 
 func (s *session) Hello(h Hello, r *HelloReply) error {
+	s.from.Store(&h.From.Address)
 	*r = s.host.Hello(h)
 	return nil
 }
 
 func (s *session) Ping(p Ping, r *Pong) error {
-	*r = s.host.Ping(p)
+	from := s.from.Load()
+	if from == nil {
+		return errNoHello
+	}
+	*r = s.host.Ping(*from, p)
+	if r.Self != nil {
+		r.Self = s.told.news(*r.Self, time.Now())
+	}
 	return nil
 }
 
+var errNoHello = errors.New("the connection did not begin with a hello")
+
 func (s *session) Document(_ bool, d *Document) error {
 	*d = s.host.Document()
 	return nil
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -85,7 +85,7 @@
 
 // Ping describes the sender.
 type Ping struct {
-	From   Member
+	From   *Member // nil: as the receiver was told before on the connection
 	Report Report
 	// Unlisted says that the store no longer lists the receiver.
 	Unlisted bool
@@ -93,7 +93,7 @@
 
 // Pong is the answer to a Ping.
 type Pong struct {
-	Self   Member
+	Self   *Member // nil: as the receiver was told before on the connection
 	Report Report
 }
 
