toucanretry: keep nine tenths of the repeats for urgent requests

TestBudgetKeepsRepeatsForUrgentRequests holds the new share: 2 of 20 repeats are left to others where it was 10.

--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -12,8 +12,8 @@
 	budgetSlots = 10
 	// urgentReserve is the number of repeats for each urgent request that other
 	// requests leave in the budget, at most urgentShare of the whole.
-	urgentReserve = 1.0
-	urgentShare   = 0.5
+	urgentReserve = 1.3
+	urgentShare   = 0.9
 )
 
 // Budget bounds the repeats that a node sends to each service, as its part of a
