toucanretry: pace the repeats of requests that are not urgent

TestBudgetOutlastsAShortage fails before: no repeat in the last two of 8 s.

Requests that are not urgent now also spend no more than those of the last two seconds allow. The parts are now 0.65 beside the server and 0.15 at entries, together 0.8 as before. TestBudgetKeepsRepeatsForUrgentRequests follows the share of 0.95: one of 20 repeats is left to others.

--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -30,9 +30,9 @@
 	// Parts of the shared retry budget: the node beside a backend server sees all
 	// requests for it and grants most repeats; an entry whose node was lost has
 	// to decide alone. The rest covers the calls of repeated runs.
-	backendRatioShare = 0.6
+	backendRatioShare = 0.65
 	backendSlackShare = 0.4
-	entryRatioShare   = 0.2
+	entryRatioShare   = 0.15
 	entrySlackShare   = 0.2
 	// settingsPoll is the time between looks at the settings file, which may
 	// change without a signal.
--- a/toucanretry/budget.go
+++ b/toucanretry/budget.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	// budgetSlots divides the window of a budget.
+	// budgetSlots divides the window of a budget. The newest paceSlots bound the
+	// repeats of requests that are not urgent.
 	budgetSlots = 10
+	paceSlots   = 2
 	// urgentReserve is the number of repeats for each urgent request that other
 	// requests leave in the budget, at most urgentShare of the whole.
 	urgentReserve = 1.3
-	urgentShare   = 0.9
+	urgentShare   = 0.95
 )
 
 // Budget bounds the repeats that a node sends to each service, as its part of a
@@ -57,29 +59,39 @@
 // Spend takes one repeat and reports whether there was one. nodes is the number
 // of nodes that share the fixed part. In its first window a node takes none of
 // that part, because an earlier start of it may have spent it. Requests that are
-// not urgent leave a part of the budget to those that are.
+// not urgent leave a part of the budget to those that are, and spend no more
+// than the newest requests allow, so that a shortage that lasts does not meet an
+// empty budget.
 func (b *Budget) Spend(service string, nodes int, urgent bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(service)
+	slack := 0.0
+	if b.clock.Now().Sub(b.began) >= b.window {
+		slack = b.slack / float64(max(1, nodes))
+	}
+	if !b.allows(w, budgetSlots, slack, urgent) || !urgent && !b.allows(w, paceSlots, slack, urgent) {
+		return false
+	}
+	w.repeats[w.slot%budgetSlots]++
+	return true
+}
+
+// allows reports whether the newest slots of a window have room for one more
+// repeat.
+func (b *Budget) allows(w *budgetWindow, slots int64, slack float64, urgent bool) bool {
 	requests, urgents, repeats := 0, 0, 0
-	for i := range w.requests {
+	for slot := w.slot; slot > w.slot-slots; slot-- {
+		i := (slot + budgetSlots) % budgetSlots
 		requests += w.requests[i]
 		urgents += w.urgent[i]
 		repeats += w.repeats[i]
 	}
-	allowed := b.ratio * float64(requests)
-	if b.clock.Now().Sub(b.began) >= b.window {
-		allowed += b.slack / float64(max(1, nodes))
-	}
+	allowed := b.ratio*float64(requests) + slack
 	if !urgent {
 		allowed -= min(urgentReserve*float64(urgents), urgentShare*allowed)
 	}
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	w.repeats[w.slot%budgetSlots]++
-	return true
+	return float64(repeats+1) <= allowed
 }
 
 // current returns the window of a service, moved to now. mu is held.
