--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -33,8 +33,13 @@
 )
 
 // soakFixed are the seeds of every run: one of each kind of schedule, and those
-// that ever failed, with their cause.
-var soakFixed = []uint64{1, 2}
+// that ever failed. No cause was in the nodes.
+var soakFixed = []uint64{
+	1, 2, 2009, // two series of faults started a node, the second found its ports taken
+	1002, 1003, 1004, 1007, 1010, 1012, 2000, 2011, 2013, // the same, the first process was forgotten
+	1013, // another test process listened on the caller address of a node
+	1017, // a process that was told to end while it was paused stayed so
+}
 
 const (
 	soakNodes = 5 // two services of two nodes and a node that only takes callers
--- a/toucanfleet/choose_test.go
+++ b/toucanfleet/choose_test.go
@@ -24,7 +24,7 @@
 	f := New(Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Self: toucanpeer.Member{Node: "self", Address: "self", DataCentre: "a", Service: "other"}, Local: idle{}})
 	for i, dc := range dcs {
 		n := &node{
-			link: toucanpeer.NewLink("127.0.0.1:1", toucanpeer.NearPing, func() toucanpeer.Hello { return toucanpeer.Hello{} }, nil, f), up: true, listed: true,
+			link: toucanpeer.NewLink("127.0.0.1:1", func() toucanpeer.Hello { return toucanpeer.Hello{} }, nil, f), up: true, listed: true,
 			report: toucanpeer.Report{Serving: true, Limit: 10}, reported: clock.Now(),
 		}
 		m := toucanpeer.Member{Node: fmt.Sprint(i), Address: fmt.Sprint(i), DataCentre: string(dc), Service: "s", Serving: true}
--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -24,6 +24,12 @@
 	unreachableTime = 3 * time.Second
 	// unlistedHint is how long a connected member is told that it is not listed.
 	unlistedHint = 3 * time.Second
+	// nearProbe and farProbe are the times between probes of a link without calls,
+	// in a data centre and between two. From manyNodes on they grow with the
+	// number of nodes, so that a node sends no more probes in a larger deployment.
+	nearProbe = time.Second
+	farProbe  = 2 * time.Second
+	manyNodes = 60
 	// tickTime is the time between looks at the links.
 	tickTime = 50 * time.Millisecond
 )
@@ -295,15 +301,11 @@
 // add creates the node of a member and its link. mu is held.
 func (f *Fleet) add(m toucanpeer.Member) *node {
 	n := &node{seen: f.clock.Now(), lost: f.clock.Now()}
-	every := toucanpeer.FarPing
-	if m.DataCentre == f.self.DataCentre {
-		every = toucanpeer.NearPing
-	}
-	n.link = toucanpeer.NewLink(m.Address, every, f.hello, func() toucanpeer.Ping { return f.pingTo(m.Address) }, f)
+	n.link = toucanpeer.NewLink(m.Address, f.hello, func() toucanpeer.Ping { return f.pingTo(m.Address) }, f)
 	f.nodes[m.Address] = n
 	f.setMember(n, m)
 	f.log.Info("member added", "node", m.Node, "address", m.Address, "service", m.Service)
-	n.link.Tick(f.clock.Now())
+	n.link.Tick(f.clock.Now(), f.probeTime(n))
 	return n
 }
 
@@ -430,7 +432,11 @@
 func (f *Fleet) tick() {
 	now := f.clock.Now()
 	f.mu.Lock()
-	links := make([]*toucanpeer.Link, 0, len(f.nodes))
+	type probe struct {
+		link  *toucanpeer.Link
+		every time.Duration
+	}
+	probes := make([]probe, 0, len(f.nodes))
 	for addr, n := range f.nodes {
 		switch {
 		case n.link == nil:
@@ -440,11 +446,20 @@
 			delete(f.nodes, addr)
 			f.log.Info("member dropped", "node", n.member.Node, "address", addr)
 		default:
-			links = append(links, n.link)
+			probes = append(probes, probe{n.link, f.probeTime(n)})
 		}
 	}
 	f.mu.Unlock()
-	for _, l := range links {
-		l.Tick(now)
+	for _, p := range probes {
+		p.link.Tick(now, p.every)
+	}
+}
+
+// probeTime is the time between probes of a link without calls. mu is held.
+func (f *Fleet) probeTime(n *node) time.Duration {
+	every := farProbe
+	if n.member.DataCentre == f.self.DataCentre {
+		every = nearProbe
 	}
+	return every * time.Duration(max(len(f.nodes), manyNodes)) / manyNodes
 }
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -21,10 +21,6 @@
 	// probed, and silentTime the one after which it is given up.
 	quietTime  = 100 * time.Millisecond
 	silentTime = 350 * time.Millisecond
-	// NearPing and FarPing are the times between probes of a link without calls, in
-	// a data centre and between two.
-	NearPing = time.Second
-	FarPing  = 2 * time.Second
 	// redialMin and redialMax bound the pause between connection attempts.
 	redialMin = 100 * time.Millisecond
 	redialMax = time.Second
@@ -45,7 +41,6 @@
 	addr     string
 	hello    func() Hello
 	ping     func() Ping
-	every    time.Duration // between probes without calls
 	observer Observer
 
 	mu          sync.Mutex
@@ -61,10 +56,9 @@
 	probing atomic.Bool
 }
 
-// NewLink returns a link that is not connected yet; see Tick. every is the time
-// between probes while there are no calls.
-func NewLink(addr string, every time.Duration, hello func() Hello, ping func() Ping, o Observer) *Link {
-	return &Link{addr: addr, every: every, hello: hello, ping: ping, observer: o}
+// NewLink returns a link that is not connected yet; see Tick.
+func NewLink(addr string, hello func() Hello, ping func() Ping, o Observer) *Link {
+	return &Link{addr: addr, hello: hello, ping: ping, observer: o}
 }
 
 // Up reports whether the link is connected.
@@ -86,9 +80,9 @@
 	}
 }
 
-// Tick dials a link that is down and probes one that is quiet. It returns at
-// once.
-func (l *Link) Tick(now time.Time) {
+// Tick dials a link that is down and probes one that is quiet, for the time every
+// if it has no calls. It returns at once.
+func (l *Link) Tick(now time.Time, every time.Duration) {
 	l.mu.Lock()
 	client, conn := l.client, l.conn
 	l.mu.Unlock()
@@ -101,7 +95,7 @@
 	switch {
 	case l.probing.Load() && quiet > silentTime:
 		conn.fail(errSilent)
-	case !l.probing.Load() && (busy && quiet > quietTime || quiet > l.every):
+	case !l.probing.Load() && (busy && quiet > quietTime || quiet > every):
 		l.probe(client, conn)
 	}
 }
--- a/toucanpeer/link_test.go
+++ b/toucanpeer/link_test.go
@@ -83,13 +83,13 @@
 // dialled returns a link that is connected to a host behind a listener.
 func dialled(t *testing.T, l net.Listener, h Host) *Link {
 	go Serve(l, h, slog.New(slog.DiscardHandler))
-	link := NewLink(l.Addr().String(), NearPing, func() Hello { return Hello{} }, func() Ping { return Ping{} }, quietObserver{})
+	link := NewLink(l.Addr().String(), func() Hello { return Hello{} }, func() Ping { return Ping{} }, quietObserver{})
 	t.Cleanup(func() { link.Close(); l.Close() })
 	for end := time.Now().Add(5 * time.Second); !link.Up(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the link does not connect")
 		}
-		link.Tick(time.Now())
+		link.Tick(time.Now(), time.Second)
 	}
 	return link
 }
@@ -216,7 +216,7 @@
 			is.True(time.Since(began) < time.Second)
 			return
 		case <-time.After(20 * time.Millisecond):
-			link.Tick(time.Now())
+			link.Tick(time.Now(), time.Second)
 		}
 	}
 }
