toucanmesh: let a stopping node serve its backend server to the end

Until a second before the end the entry now refuses only when the backend server is not at work. TestStoppingNodeServesItsBackendServer fails before: 503.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -59,12 +59,17 @@
 	Table    atomic.Pointer[toucanroute.Table]
 	Metrics  Metrics
 
-	refusing atomic.Bool
+	refuses  atomic.Pointer[func() bool]
 	throttle throttle
 }
 
-// Refuse makes the entry refuse all further requests.
-func (e *Entry) Refuse() { e.refusing.Store(true) }
+// Refuse makes the entry refuse further requests while cond reports true.
+func (e *Entry) Refuse(cond func() bool) { e.refuses.Store(&cond) }
+
+func (e *Entry) refusing() bool {
+	cond := e.refuses.Load()
+	return cond != nil && (*cond)()
+}
 
 // Metrics counts outcomes.
 type Metrics interface {
@@ -114,7 +119,7 @@
 }
 
 func (e *Entry) handle(ctx context.Context, q *request) *toucanserve.Response {
-	if q.table == nil || e.refusing.Load() {
+	if q.table == nil || e.refusing() {
 		q.reason = toucancall.ReasonLeaving
 		if q.table == nil {
 			q.reason = reasonNoTable
--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -464,6 +464,37 @@
 }
 
 // A planned stop finishes what was begun, here and for other nodes.
+// A backend server that is at work on a request when its node stops makes its
+// calls through the node to the end.
+func TestStoppingNodeServesItsBackendServer(t *testing.T) {
+	is := is.New(t)
+	read, child := safeRoute(), safeRoute()
+	read.TimeoutS = 4
+	child.Name, child.Prefix, child.Services = "child", "/child/", map[string]int{"stock": 1}
+	s := newSite(t, read, child)
+	entry, home := s.start("a", "stock"), s.start("b", "orders")
+	entry.served("/read/")
+	home.served("/child/")
+	started := make(chan struct{})
+	called := make(chan answer, 1)
+	home.backend.SetAnswer(func(w io.Writer, r *http.Request) {
+		close(started)
+		time.Sleep(stopMin + 100*time.Millisecond)
+		called <- home.ask("GET", "/child/1", "call")
+		platformtest.Whole(w, r)
+	})
+	done := make(chan answer, 1)
+	go func() { done <- entry.ask("GET", "/read/1", "parent") }()
+	<-started
+	home.stopped = true
+	home.Stop()
+	is.Equal((<-called).status, http.StatusOK)
+	is.Equal((<-done).status, http.StatusOK)
+}
+
+// stopMin is the time that a stopping node serves all callers.
+const stopMin = 2200 * time.Millisecond
+
 func TestPlannedStopCutsNothingOff(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, unsafeRoute())
--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -14,6 +14,8 @@
 	stopPoll = 20 * time.Millisecond
 	// leaveMin is the time that other nodes get to hear that this one leaves.
 	leaveMin = 200 * time.Millisecond
+	// callReserve is the part of the time for ending in which no call is begun.
+	callReserve = time.Second
 	// stopReserve is the part of the grace time that is left for ending.
 	stopReserve = 500 * time.Millisecond
 )
@@ -29,7 +31,9 @@
 	n.server.Drain()
 	n.awaitIdle(stopMin, began.Add(min(stopMax, grace/2)), func() bool { return n.server.Active() == 0 })
 	n.leaving.Store(true)
-	n.entry.Refuse()
+	// What the backend server has begun may need further calls.
+	lastCall := end.Add(-callReserve)
+	n.entry.Refuse(func() bool { return n.running() == 0 || n.clock.Now().After(lastCall) })
 	n.changed()
 	n.awaitIdle(leaveMin, end, func() bool { return n.server.Active() == 0 && n.running() == 0 })
 	n.log.Info("stopped", "active", n.server.Active(), "running", n.running(), "took", n.clock.Now().Sub(began))
