toucanmesh: ask few nodes for all members at the start

After all were killed each node was dialled by all others before it had read the store, dialled them back, and asked each for all members, about 39 KB an answer.

A node now asks five at most (TestMembersAreAskedOfFewNodes). The effect is not measured yet.

--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -26,6 +26,9 @@
 	// 2 s of its return.
 	startRetry = 300 * time.Millisecond
 	lostRetry  = 700 * time.Millisecond
+	// maxAsked is how many nodes are asked for all members by one that has not read
+	// them from the store.
+	maxAsked = 5
 	// refreshTime is the time between reads of the members while one that is listed
 	// cannot be reached, to drop those that are gone.
 	refreshTime = 5 * time.Second
@@ -41,9 +44,10 @@
 	written  toucanpeer.Member
 	missing  bool // someone removed the key
 
-	unread    atomic.Bool // the members must be read
-	read      atomic.Bool // they were read at least once
-	refreshed time.Time   // last read of them for those that are gone; used by register alone
+	unread    atomic.Bool  // the members must be read
+	read      atomic.Bool  // they were read at least once
+	asked     atomic.Int32 // nodes that were asked for them
+	refreshed time.Time    // last read of them for those that are gone; used by register alone
 }
 
 // self describes this node.
@@ -61,7 +65,7 @@
 }
 
 func (n *Node) hello() toucanpeer.Hello {
-	return toucanpeer.Hello{From: n.self(), WantMembers: !n.member.read.Load()}
+	return toucanpeer.Hello{From: n.self(), WantMembers: !n.member.read.Load() && n.member.asked.Add(1) <= maxAsked}
 }
 
 // backendChanged is told when the backend server starts or stops taking calls.
--- /dev/null
+++ b/toucanmesh/member_test.go
@@ -0,0 +1,28 @@
+package toucanmesh
+
+import (
+	"log/slog"
+	"testing"
+
+	"toucanhaven/toucanclock"
+)
+
+// A node that starts among many does not ask each of them for all members.
+func TestMembersAreAskedOfFewNodes(t *testing.T) {
+	n, err := New(Options{
+		Settings: Settings{Node: "a", Service: "s", PeerAdvertised: "127.0.0.1:1"},
+		Clock:    toucanclock.System{}, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := 0
+	for range 300 {
+		if n.hello().WantMembers {
+			asked++
+		}
+	}
+	if asked != maxAsked {
+		t.Errorf("%d of 300 nodes are asked for all members, want %d", asked, maxAsked)
+	}
+}
