toucanmesh: log which node watches the store, and servers that end

A watch that starts, or is left to other nodes, changes where a node's news come from. Errors of the control, readiness and metrics servers were dropped.

--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -200,7 +201,11 @@
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: time.Minute}
 	n.servers = append(n.servers, srv)
-	go srv.Serve(l)
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			n.logError(err)
+		}
+	}()
 	return nil
 }
 
--- a/toucanmesh/watch.go
+++ b/toucanmesh/watch.go
@@ -113,7 +113,15 @@
 // watch passes on changes while this node is a watcher, until a watch fails or
 // the store no longer keeps the changes.
 func (n *Node) watch(ctx context.Context, f following, after uint64) {
-	for ctx.Err() == nil && n.watches() {
+	if !n.watches() {
+		return
+	}
+	n.log.Info("watch started", "prefix", f.prefix, "after", after, "rank", n.fleet.Rank())
+	for ctx.Err() == nil {
+		if !n.watches() {
+			n.log.Info("watch left to other nodes", "prefix", f.prefix, "after", after, "rank", n.fleet.Rank(), "store_lost", n.store.isLost())
+			return
+		}
 		l, err := n.store.Watch(ctx, f.prefix, after, f.wait/2+rand.N(f.wait/2))
 		switch {
 		case errors.Is(err, toucanstore.ErrCompacted):
