review: a departure confirmed while the store is down is forgotten

Cause: recordDeparture confirms a departure that only other processes keep in memory, and applyStoredState resumes the backend from the member that the store still has.

Tried: the store answers 503 for 4.5 s, the backend leaves, and all processes are killed a second later.

--- a/review/standin/departed.go
+++ b/review/standin/departed.go
@@ -78,21 +78,28 @@
 	d.rec.printf("server %s exits", leaving.backend.id)
 	time.Sleep(time.Second)
 	close(stop)
+	return drainViolations(d, leaving.backend, acknowledged, inTouch, <-done), nil
+}
+
+// drainViolations returns the requests that reached a backend server too long after its
+// departure was confirmed. Only requests that clients sent while all machines were in
+// touch count.
+func drainViolations(d *deployment, b *backend, acknowledged, inTouch time.Time, replies []reply) (broken []string) {
 	sentAt := make(map[string]time.Time)
 	served := 0
-	for _, r := range <-done {
+	for _, r := range replies {
 		sentAt[r.id] = r.sentAt
 		if r.status == http.StatusOK && r.sentAt.After(inTouch) {
 			served++
 		}
 	}
 	d.rec.printf("%d requests answered with success after all machines were in touch", served)
-	for _, a := range leaving.backend.received() {
+	for _, a := range b.received() {
 		if a.at.After(acknowledged.Add(drainTime)) && sentAt[a.id].After(inTouch) {
-			broken = append(broken, fmt.Sprintf("DRAIN: %s reached server %s at %s, %.1f s after its departure was confirmed", a.id, leaving.backend.id, d.rec.at(a.at), a.at.Sub(acknowledged).Seconds()))
+			broken = append(broken, fmt.Sprintf("DRAIN: %s reached server %s at %s, %.1f s after its departure was confirmed", a.id, b.id, d.rec.at(a.at), a.at.Sub(acknowledged).Seconds()))
 		}
 	}
-	return broken, nil
+	return broken
 }
 
 // announceDeparture sends the departure of the backend server of a node until it is
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -69,14 +71,23 @@
 	}
 }
 
+// Ports of the nodes lie below those that the system gives to outgoing connections, which
+// could take the port of a node while its process is down.
+const (
+	firstPort = 16000
+	lastPort  = 30000
+)
+
 // freeAddress returns a loopback address with a port that is free.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // addNode adds a node with a backend server of a service. The node is not started.
