review: nodes end when the ports in their settings file change

Cause: Reload publishes a member with an address that the fleet does not know, and SetSelf dereferences a nil node.

Tried: internalPorts changes in the files of six nodes, two get SIGHUP.

--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -78,11 +78,18 @@
 	lastPort  = 30000
 )
 
+// usedAddresses are the addresses that freeAddress has returned.
+var usedAddresses = make(map[string]bool)
+
 // freeAddress returns a loopback address with a port that is free.
 func freeAddress() (string, error) {
 	for range 1000 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if usedAddresses[address] {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
+			usedAddresses[address] = true
 			l.Close()
 			return address, nil
 		}
@@ -106,8 +113,8 @@
 	return n, nil
 }
 
-// start starts the process of the node.
-func (n *node) start() error {
+// writeSettings writes the settings file of the node.
+func (n *node) writeSettings() error {
 	settings := fmt.Sprintf(`node = %q
 service = %q
 data_centre = %q
@@ -129,7 +136,12 @@
 	if n.peersSeen != "" {
 		settings += fmt.Sprintf("peer_advertised = %q\n", n.peersSeen)
 	}
-	if err := os.WriteFile(n.settings, []byte(settings), 0o600); err != nil {
+	return os.WriteFile(n.settings, []byte(settings), 0o600)
+}
+
+// start starts the process of the node.
+func (n *node) start() error {
+	if err := n.writeSettings(); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(n.d.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
