toucanentry, toucanbackend: log the result of each attempt and the use of the connection

The request line had node and reason of the last attempt only, and connection_lost is the reason both of an unknown outcome and of not_run after a node was asked for the outcome. The run line did not say whether a refusal came on a used connection or behind responses to other requests.

request: trail=node:outcome/reason,... in order. run: reused, skipped. Metric toucan_attempts_total{outcome,reason}. No decision depends on them.

--- a/toucanbackend/exchange.go
+++ b/toucanbackend/exchange.go
@@ -45,6 +45,12 @@
 	held   int64 // bytes of the memory for bodies
 }
 
+// exchangeTrace tells how an exchange went, for the log.
+type exchangeTrace struct {
+	reused  bool // the connection had been used before
+	skipped int  // responses to other requests that came first
+}
+
 // exchangeError is the error of a failed exchange.
 type exchangeError struct {
 	sent bool // whether a byte of the request may have reached the server
@@ -64,11 +70,12 @@
 
 // exchange sends a call to the server and reads the complete response. Its error
 // is an exchangeError.
-func (r *Runner) exchange(ctx context.Context, s Server, c *toucanpeer.Call, deadline time.Time) (resp *response, err error) {
+func (r *Runner) exchange(ctx context.Context, s Server, c *toucanpeer.Call, deadline time.Time, tr *exchangeTrace) (resp *response, err error) {
 	conn, reused, err := r.getConn(ctx, s.Address, deadline, c)
 	if err != nil {
 		return nil, &exchangeError{err: err}
 	}
+	tr.reused = reused
 	reusable := false
 	if err := conn.SetDeadline(deadline); err != nil {
 		conn.Close()
@@ -92,7 +99,7 @@
 			return nil, &exchangeError{sent: true, err: err}
 		}
 	}
-	resp, reusable, err = r.readResponse(conn, c, reused)
+	resp, reusable, err = r.readResponse(conn, c, tr)
 	if err != nil {
 		return nil, &exchangeError{sent: true, err: err}
 	}
@@ -155,7 +162,7 @@
 // readResponse reads the response to the call. It skips informational responses
 // and late responses to earlier requests. reusable reports whether the connection
 // can be used again.
-func (r *Runner) readResponse(conn *toucanconn.Conn, c *toucanpeer.Call, reused bool) (resp *response, reusable bool, err error) {
+func (r *Runner) readResponse(conn *toucanconn.Conn, c *toucanpeer.Call, tr *exchangeTrace) (resp *response, reusable bool, err error) {
 	for range maxSkippedResponses {
 		conn.LimitHeader()
 		hr, err := http.ReadResponse(conn.R, &http.Request{Method: c.Method})
@@ -175,12 +182,13 @@
 		}
 		resp = &response{status: hr.StatusCode, header: hr.Header, body: body, held: held}
 		if id := hr.Header.Get(r.names.RequestID); id != c.ID {
-			if id == "" && (reused || hr.Header.Get(r.names.NotRun) == "") {
+			if id == "" && (tr.reused || hr.Header.Get(r.names.NotRun) == "") {
 				r.bodies.Release(held)
 				return nil, false, errNoRequestID
 			}
 			if id != "" {
 				r.bodies.Release(held)
+				tr.skipped++
 				r.log.Info("skipped a response to another request", "request", c.ID, "other", id)
 				continue
 			}
--- a/toucanbackend/fuzz_test.go
+++ b/toucanbackend/fuzz_test.go
@@ -30,7 +30,7 @@
 			names: HeaderNames{RequestID: "X-Request-Id", NotRun: "X-Not-Executed", Signature: "X-Response-Signature"},
 		}
 		conn := &toucanconn.Conn{R: bufio.NewReader(bytes.NewReader(data))}
-		got, reusable, err := r.readResponse(conn, &toucanpeer.Call{ID: "x", Method: "GET"}, false)
+		got, reusable, err := r.readResponse(conn, &toucanpeer.Call{ID: "x", Method: "GET"}, new(exchangeTrace))
 		if err != nil {
 			if used := r.bodies.Used(); used != 0 {
 				t.Fatalf("%d bytes held after %v", used, err)
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -298,7 +298,8 @@
 	if !c.Repeat {
 		r.retryBudget.CountRequest(c.Service, c.Priority == 0)
 	}
-	resp, err := r.exchange(ctx, s, c, deadline)
+	var tr exchangeTrace
+	resp, err := r.exchange(ctx, s, c, deadline, &tr)
 	took := r.clock.Now().Sub(started)
 	r.limiter.release(took, err == nil && !r.notRun(resp))
 	if resp != nil {
@@ -317,6 +318,7 @@
 	r.log.LogAttrs(context.Background(), slog.LevelInfo, "run", slog.String("request", c.ID), slog.String("route", c.Route),
 		slog.String("instance", s.Instance), slog.String("outcome", string(res.Outcome)), slog.String("reason", string(res.Reason)),
 		slog.Int("status", res.Status), slog.Int("step", c.Step), slog.Bool("repeat", c.Repeat), slog.Bool("may_repeat", res.MayRepeat),
+		slog.Bool("reused", tr.reused), slog.Int("skipped", tr.skipped),
 		slog.Duration("waited", started.Sub(began)), slog.Duration("took", took), slog.String("err", errText(err)))
 	return res, held
 }
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -77,9 +77,11 @@
 	return cond != nil && (*cond)()
 }
 
-// Metrics records the status and duration of each request.
+// Metrics records the status and duration of each request and the result of each
+// attempt.
 type Metrics interface {
 	Observe(route string, status int, took time.Duration)
+	CountAttempt(outcome toucancall.Outcome, reason toucancall.Reason)
 }
 
 // request is the state of one request while the entry handles it.
@@ -98,8 +100,9 @@
 	possibleRuns   int  // attempts in which a backend server may have run it
 	reason         toucancall.Reason
 
-	// Inputs of the throttling decision and of the last choice of a node, for the
-	// log.
+	// Inputs of the throttling decision and of the last choice of a node, and the
+	// attempts in order, for the log.
+	trail                   trail
 	node                    string
 	load                    float64
 	reportAge               time.Duration
@@ -124,7 +127,7 @@
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("request", q.id), slog.String("route", route),
 		slog.Uint64("version", version), slog.String("service", q.service),
 		slog.Int("status", resp.Status), slog.String("reason", string(q.reason)), slog.Bool("offered", q.mayHaveRun), slog.Int("tries", q.attempts),
-		slog.String("node", q.node), slog.Float64("load", q.load), slog.Duration("report_age", q.reportAge),
+		slog.String("trail", q.trail.String()), slog.String("node", q.node), slog.Float64("load", q.load), slog.Duration("report_age", q.reportAge),
 		slog.Float64("admitted", q.admittedShare), slog.Float64("pressure", q.pressure), slog.Duration("took", took))
 	return resp
 }
@@ -189,6 +192,8 @@
 		q.node, q.load, q.reportAge = target.Node, target.Load, target.ReportAge
 		r := e.sendTo(ctx, q, target, remaining)
 		q.reason = r.Reason
+		q.trail.add(target.Node, r)
+		e.Metrics.CountAttempt(r.Outcome, r.Reason)
 		if r.Outcome == toucancall.Answered {
 			q.mayHaveRun = true
 			e.throttle.recordResponse(q.route.Name, r.Status, e.Clock.Now())
--- a/toucanmesh/metrics.go
+++ b/toucanmesh/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"toucanhaven/toucancall"
 )
 
 // meter counts requests and serves all metrics in the Prometheus text format.
@@ -25,6 +27,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`toucan_request_seconds{route=%q}`, route)).Update(took.Seconds())
 }
 
+// CountAttempt counts an attempt to send a request to a node.
+func (m *meter) CountAttempt(outcome toucancall.Outcome, reason toucancall.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`toucan_attempts_total{outcome=%q,reason=%q}`, outcome, reason)).Inc()
+}
+
 // addGauges registers the gauges of a node.
 func (m *meter) addGauges(n *Node) {
 	gauge := func(name string, f func() float64) { m.set.NewGauge("toucan_"+name, f) }
