toucanmesh: show that a backend server's own 503 is passed on as a promise

A 503, 429 or 408 with the id of the request but without X-Not-Executed reaches the caller as it came, though the server may have run the request.

--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -108,6 +108,48 @@
 	is.True(after > 0)
 }
 
+// A status that promises "not run" must not reach the caller on the word of a backend server
+// that does not say it did not run the request.
+func TestUnprovenRefusalIsNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n"
+	s := newDeployment(t, unsafeRoute(), safeRoute())
+	m := s.startNode("a", "orders")
+	m.awaitServed("/order/")
+	for _, tt := range []struct {
+		status int
+		field  string // of the response, beside those of head
+		want   int
+	}{
+		{503, "", 502},
+		{429, "", 502},
+		{408, "", 502},
+		{503, "Retry-After: 1\r\n", 502},
+		{503, "X-Not-Executed: 1\r\n", 503},
+		{429, "X-Not-Executed: 1\r\n", 503},
+		{421, "", 503},
+		{500, "", 500},
+		{404, "", 404},
+	} {
+		for _, request := range []struct{ method, path string }{{"POST", "/order/1"}, {"GET", "/read/1"}} {
+			t.Run(fmt.Sprintf("%s_%d_%d", request.method, tt.status, len(tt.field)), func(t *testing.T) {
+				is := is.New(t)
+				m.sendHeartbeat("ready", http.StatusOK) // after 421 the node waits for a heartbeat
+				m.backend.SetAnswer(func(w io.Writer, r *http.Request) {
+					fmt.Fprintf(w, head+tt.field+"\r\nno", tt.status, r.Header.Get("X-Request-Id"))
+				})
+				got := m.send(request.method, request.path, t.Name()[strings.LastIndexByte(t.Name(), '/')+1:])
+				is.NoErr(got.err)
+				is.Equal(got.status, tt.want)
+				if got.status != tt.status { // the status is not the one that the signature is for
+					is.Equal(got.header.Get("X-Response-Signature"), "")
+					is.Equal(got.body, "")
+				}
+				is.Equal(got.header.Get("Retry-After") != "", got.status == 503)
+			})
+		}
+	}
+}
+
 // When the connection between two nodes breaks while an unsafe request runs,
 // the entry must get the response on a new connection and the request must not
 // run again.
