toucancall, toucanentry, toucanserve: a refusal takes a proof that nothing ran

Callers were told 503, not run, try again, for an order that a backend server had run, so that it could be placed twice.

Cause: whether a request may have run was a flag that only mayRetry set, and the attempt that reached the limit of six did not get there. Forgetting to record an attempt meant a refusal.

Now toucancall.Attempts records each attempt before it is sent, as unknown, and only attempts that all ended with not_run give a NotRunProof. toucanserve writes 503, 429, 408 and 421 only with that proof, 502 without. What is forgotten is now a 502, and nothing in the entry has to remember it.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -87,22 +87,18 @@
 // request is the state of one request while the entry handles it.
 type request struct {
 	*toucanserve.Request
-	id             string
-	route          *toucanroute.Route
-	table          *toucanroute.Table
-	service        string
-	deadline       time.Time
-	header         []string
-	step           int // Step of the call that is sent
-	attempts       int
-	mayHaveRun     bool // a backend server may have run the request
-	mayHaveArrived bool // a backend server may have been sent the request
-	possibleRuns   int  // attempts in which a backend server may have run it
-	reason         toucancall.Reason
+	id       string
+	route    *toucanroute.Route
+	table    *toucanroute.Table
+	service  string
+	deadline time.Time
+	header   []string
+	step     int // Step of the call that is sent
+	attempts toucancall.Attempts
+	reason   toucancall.Reason
 
-	// Inputs of the throttling decision and of the last choice of a node, and the
-	// attempts in order, for the log.
-	trail                   trail
+	// Inputs of the throttling decision and of the last choice of a node, for the
+	// log.
 	node                    string
 	load                    float64
 	reportAge               time.Duration
@@ -123,15 +119,24 @@
 	if q.table != nil {
 		version = q.table.Version
 	}
-	e.Metrics.Observe(route, resp.Status, took)
+	e.Metrics.Observe(route, resp.Status(), took)
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("request", q.id), slog.String("route", route),
 		slog.Uint64("version", version), slog.String("service", q.service),
-		slog.Int("status", resp.Status), slog.String("reason", string(q.reason)), slog.Bool("offered", q.mayHaveRun), slog.Int("tries", q.attempts),
-		slog.String("trail", q.trail.String()), slog.String("node", q.node), slog.Float64("load", q.load), slog.Duration("report_age", q.reportAge),
+		slog.Int("status", resp.Status()), slog.String("reason", string(q.reason)), slog.Bool("offered", q.attempts.PossibleRuns() > 0), slog.Int("tries", q.attempts.Count()),
+		slog.String("trail", q.trail()), slog.String("node", q.node), slog.Float64("load", q.load), slog.Duration("report_age", q.reportAge),
 		slog.Float64("admitted", q.admittedShare), slog.Float64("pressure", q.pressure), slog.Duration("took", took))
 	return resp
 }
 
+// trail returns the attempts for the log. It is empty for a single attempt that was
+// answered, to keep most lines short.
+func (q *request) trail() string {
+	if q.attempts.Count() == 1 && q.reason == "" {
+		return ""
+	}
+	return q.attempts.String()
+}
+
 func (e *Entry) handle(ctx context.Context, q *request) *toucanserve.Response {
 	if q.table == nil || e.refusing() {
 		q.reason = toucancall.ReasonLeaving
@@ -176,7 +181,7 @@
 // the response of a backend server or no further attempt is allowed.
 func (e *Entry) sendUntilAnswered(ctx context.Context, q *request) *toucanserve.Response {
 	var excluded []string
-	for q.attempts = 1; ; q.attempts++ {
+	for {
 		remaining := q.deadline.Sub(e.Clock.Now())
 		if remaining < minRemaining || ctx.Err() != nil {
 			q.reason = toucancall.ReasonDeadline
@@ -191,18 +196,14 @@
 		}
 		q.node, q.load, q.reportAge = target.Node, target.Load, target.ReportAge
 		r := e.sendTo(ctx, q, target, remaining)
-		q.reason = r.Reason
-		q.trail.add(target.Node, r)
-		e.Metrics.CountAttempt(r.Outcome, r.Reason)
 		if r.Outcome == toucancall.Answered {
-			q.mayHaveRun = true
 			e.throttle.recordResponse(q.route.Name, r.Status, e.Clock.Now())
 			if q.step > 0 && r.Status < http.StatusInternalServerError {
 				e.Runner.CallAnswered(q.id)
 			}
-			return e.response(q, r)
+			return response(r)
 		}
-		if q.attempts >= maxAttempts || !e.mayRetry(q, r) {
+		if q.attempts.Count() >= maxAttempts || !e.mayRetry(q, r) {
 			return e.respondUnanswered(q)
 		}
 		if r.Reason != toucancall.ReasonBackendRefused { // the same node may accept the next attempt
@@ -218,15 +219,9 @@
 // of a node, the entry takes them from its own budget.
 func (e *Entry) mayRetry(q *request, r toucanpeer.Result) bool {
 	if r.Outcome == toucancall.NotRun {
-		if r.Reason != toucancall.ReasonBackendRefused {
-			return true
-		}
-		q.mayHaveArrived = true
-		return r.MayRepeat
+		return r.Reason != toucancall.ReasonBackendRefused || r.MayRepeat
 	}
-	q.mayHaveRun, q.mayHaveArrived = true, true
-	q.possibleRuns++
-	if !q.route.Repeatable || q.possibleRuns >= q.route.MaxServers {
+	if !q.route.Repeatable || q.attempts.PossibleRuns() >= q.route.MaxServers {
 		return false
 	}
 	return r.MayRepeat || r.Report.Limit == 0 && e.RetryBudget.SpendRetry(q.service, e.Fleet.Size(), e.retryUse(q))
@@ -240,13 +235,15 @@
 	return toucanretry.Ordinary
 }
 
+// sendTo sends the request to a node and records the attempt.
 func (e *Entry) sendTo(ctx context.Context, q *request, target toucanfleet.Target, remaining time.Duration) toucanpeer.Result {
 	c := &toucanpeer.Call{
 		ID: q.id, Service: q.service, Caller: e.Service(), Method: q.Method, URI: q.URI, Host: q.Host,
 		Header: q.header, Body: q.Body, Left: remaining, Target: q.route.Target, Priority: q.route.Priority,
-		Repeatable: q.route.Repeatable, Repeat: q.mayHaveArrived, Route: q.route.Name, Step: q.step,
+		Repeatable: q.route.Repeatable, Repeat: q.attempts.ReachedBackend(), Route: q.route.Name, Step: q.step,
 	}
 	began := e.Clock.Now()
+	q.attempts = q.attempts.WithAttempt(target.Node)
 	var r toucanpeer.Result
 	if target.Link == nil {
 		r = e.Runner.Run(ctx, c)
@@ -254,6 +251,8 @@
 	} else {
 		r = target.Link.Run(ctx, c)
 	}
+	q.attempts, q.reason = q.attempts.WithOutcome(r.Outcome, r.Reason), r.Reason
+	e.Metrics.CountAttempt(r.Outcome, r.Reason)
 	e.throttle.recordResult(q.service, r, e.Clock.Now())
 	e.Fleet.Done(target, q.route.Name, e.Clock.Now().Sub(began), r)
 	return r
@@ -263,7 +262,7 @@
 // returned one.
 func (e *Entry) respondUnanswered(q *request) *toucanserve.Response {
 	e.throttle.withdrawRequest(q.route.Name, e.Clock.Now())
-	if !q.mayHaveRun {
+	if q.attempts.PossibleRuns() == 0 {
 		return e.refuse(q, e.retryAfter(q.route))
 	}
 	if !q.deadline.After(e.Clock.Now()) {
@@ -272,11 +271,11 @@
 	return emptyResponse(http.StatusBadGateway)
 }
 
-// refuse returns the response to a request that has not run and will not run.
+// refuse returns the response to a request that has not run and will not run, or one
+// that promises nothing if that is not proven.
 func (e *Entry) refuse(q *request, retryAfter time.Duration) *toucanserve.Response {
-	resp := emptyResponse(http.StatusServiceUnavailable)
-	resp.Header["Retry-After"] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
-	return resp
+	proof, _ := q.attempts.ProveNotRun()
+	return toucanserve.NewRefusal(http.StatusServiceUnavailable, proof, retryAfter)
 }
 
 // retryAfter returns a Retry-After delay with jitter, so that refused callers do
@@ -287,16 +286,16 @@
 }
 
 func emptyResponse(status int) *toucanserve.Response {
-	return &toucanserve.Response{Status: status, Header: http.Header{}}
+	return toucanserve.NewResponse(status, nil, nil)
 }
 
 // response returns the response of a backend server unchanged.
-func (e *Entry) response(q *request, r toucanpeer.Result) *toucanserve.Response {
-	resp := &toucanserve.Response{Status: r.Status, Header: make(http.Header, len(r.Header)/2), Body: r.Body}
+func response(r toucanpeer.Result) *toucanserve.Response {
+	header := make(http.Header, len(r.Header)/2)
 	for i := 0; i+1 < len(r.Header); i += 2 {
-		resp.Header[r.Header[i]] = append(resp.Header[r.Header[i]], r.Header[i+1])
+		header[r.Header[i]] = append(header[r.Header[i]], r.Header[i+1])
 	}
-	return resp
+	return toucanserve.NewResponse(r.Status, header, r.Body)
 }
 
 // endToEndFields returns the header fields to forward to the backend server, as
--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -163,7 +163,7 @@
 	return e.Handle(context.Background(), &toucanserve.Request{
 		Method: http.MethodPost, URI: "/" + route + "/1", Path: "/" + route + "/1", Host: "h",
 		Header: http.Header{"X-Request-Id": {id}}, Arrived: time.Now(),
-	}).Status
+	}).Status()
 }
 
 // A request of which any attempt may have reached a backend server must not get status 503.
--- a/toucanserve/conn.go
+++ b/toucanserve/conn.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"toucanhaven/toucancall"
 	"toucanhaven/toucanmemory"
 )
 
@@ -159,8 +160,8 @@
 	resp := c.server.Handler(c.ctx, r)
 	c.server.Bodies.Release(r.held)
 	if resp != nil {
-		c.server.Bodies.Take(int64(len(resp.Body)))
-		defer c.server.Bodies.Release(int64(len(resp.Body)))
+		c.server.Bodies.Take(int64(len(resp.body)))
+		defer c.server.Bodies.Release(int64(len(resp.body)))
 	}
 	<-prev
 	c.writeResponse(r, resp, closeAfter)
@@ -256,14 +257,23 @@
 // the responses to earlier requests, and closes the connection.
 func (c *conn) refuseRequest(status int) {
 	<-c.lastDone
-	h := http.Header{}
-	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(c.server.RetryAfter.Seconds(), 'f', 2, 64))
-	}
 	c.mu.Lock()
 	c.pending++
 	c.mu.Unlock()
-	c.writeResponse(&Request{}, &Response{Status: status, Header: h}, true)
+	c.writeResponse(&Request{}, c.newUnreadResponse(status), true)
+}
+
+// newUnreadResponse returns the response to a request that no handler was given.
+func (c *conn) newUnreadResponse(status int) *Response {
+	if !toucancall.PromisesNotRun(status) {
+		return NewResponse(status, nil, nil)
+	}
+	proof, _ := toucancall.Attempts{}.ProveNotRun()
+	retryAfter := time.Duration(0)
+	if status == http.StatusServiceUnavailable {
+		retryAfter = c.server.RetryAfter
+	}
+	return NewRefusal(status, proof, retryAfter)
 }
 
 // readBody reads the complete body and returns the bytes of Server.Bodies that it holds.
@@ -289,11 +299,11 @@
 // send writes a response. A small body is sent in one write with the header, a large one
 // is not copied.
 func (c *conn) send(r *Request, resp *Response, closing bool) error {
-	bodyless := r.Method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
-	b := appendHeader(make([]byte, 0, headerCapacity+min(len(resp.Body), maxCopiedBody)), r, resp, closing, bodyless)
-	if bodyless || len(resp.Body) <= maxCopiedBody {
+	bodyless := r.Method == http.MethodHead || resp.status == http.StatusNoContent || resp.status == http.StatusNotModified
+	b := appendHeader(make([]byte, 0, headerCapacity+min(len(resp.body), maxCopiedBody)), r, resp, closing, bodyless)
+	if bodyless || len(resp.body) <= maxCopiedBody {
 		if !bodyless {
-			b = append(b, resp.Body...)
+			b = append(b, resp.body...)
 		}
 		_, err := c.nc.Write(b)
 		return err
@@ -301,19 +311,19 @@
 	if _, err := c.nc.Write(b); err != nil {
 		return err
 	}
-	_, err := c.nc.Write(resp.Body)
+	_, err := c.nc.Write(resp.body)
 	return err
 }
 
 // appendHeader appends the status line and the header of a response.
 func appendHeader(b []byte, r *Request, resp *Response, closing, bodyless bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(resp.Status), 10)
+	b = strconv.AppendInt(b, int64(resp.status), 10)
 	b = append(b, ' ')
-	b = append(b, http.StatusText(resp.Status)...)
+	b = append(b, http.StatusText(resp.status)...)
 	b = append(b, "\r\n"...)
-	for key, values := range resp.Header {
-		if key == "Content-Length" && (r.Method != http.MethodHead || len(resp.Body) > 0) {
+	for key, values := range resp.header {
+		if key == "Content-Length" && (r.Method != http.MethodHead || len(resp.body) > 0) {
 			continue
 		}
 		for _, v := range values {
@@ -328,7 +338,7 @@
 	}
 	if !bodyless {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(resp.Body)), 10)
+		b = strconv.AppendInt(b, int64(len(resp.body)), 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
--- a/toucanserve/fuzz_test.go
+++ b/toucanserve/fuzz_test.go
@@ -29,7 +29,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			got[r.Method+" "+r.URI+" "+string(r.Body)]++
-			return &toucanserve.Response{Status: 200, Header: http.Header{}}
+			return toucanserve.NewResponse(200, nil, nil)
 		})
 		c, err := net.Dial("tcp", address)
 		if err != nil {
--- /dev/null
+++ b/toucanserve/response.go
@@ -0,0 +1,43 @@
+package toucanserve
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"toucanhaven/toucancall"
+)
+
+// Response is a complete response. NewResponse and NewRefusal create it.
+type Response struct {
+	status int
+	header http.Header // end-to-end fields; the server sets Content-Length and Connection
+	body   []byte
+}
+
+// NewResponse returns a response with the end-to-end fields of header. A status that
+// promises that the request did not run needs a proof, so NewResponse replaces such a
+// response by an empty one with status 502; see NewRefusal.
+func NewResponse(status int, header http.Header, body []byte) *Response {
+	if toucancall.PromisesNotRun(status) {
+		return &Response{status: http.StatusBadGateway}
+	}
+	return &Response{status: status, header: header, body: body}
+}
+
+// NewRefusal returns an empty response that promises that the request did not run and
+// will not. Its Retry-After field has a resolution of a millisecond; a retryAfter of 0
+// leaves it out. Without a valid proof the status is 502.
+func NewRefusal(status int, proof toucancall.NotRunProof, retryAfter time.Duration) *Response {
+	if !proof.Valid() {
+		return &Response{status: http.StatusBadGateway}
+	}
+	resp := &Response{status: status}
+	if retryAfter > 0 {
+		resp.header = http.Header{"Retry-After": {strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}}
+	}
+	return resp
+}
+
+// Status returns the HTTP status.
+func (r *Response) Status() int { return r.status }
--- a/toucanserve/serve_test.go
+++ b/toucanserve/serve_test.go
@@ -36,7 +36,7 @@
 
 // echo responds with the method, request target and body of the request.
 func echo(_ context.Context, r *toucanserve.Request) *toucanserve.Response {
-	return &toucanserve.Response{Status: 200, Header: http.Header{}, Body: fmt.Appendf(nil, "%s %s %s", r.Method, r.URI, r.Body)}
+	return toucanserve.NewResponse(200, nil, fmt.Appendf(nil, "%s %s %s", r.Method, r.URI, r.Body))
 }
 
 func TestBodies(t *testing.T) {
--- a/toucanserve/server.go
+++ b/toucanserve/server.go
@@ -30,13 +30,6 @@
 	held    int64 // bytes of Server.Bodies that the body holds
 }
 
-// Response is a complete response.
-type Response struct {
-	Status int
-	Header http.Header // end-to-end fields; the server sets Content-Length and Connection
-	Body   []byte
-}
-
 // Handler handles a request. ctx ends when the caller closes the connection. If
 // the handler returns nil, the server closes the connection without a response.
 type Handler func(ctx context.Context, r *Request) *Response
