toucanbackend: a refusal counts only if the backend server says that it did not run

A 503, 429 or 408 with the id of the request but without X-Not-Executed reached the caller as it came, a promise on no word but the node's. It is an unknown outcome now, with the reason unproven_refusal: requests that may be repeated are, others end with 502 and without the signature, which is for another status.

Likewise the error of an exchange says that nothing was sent, not that something was, so that its zero value claims nothing; and a refusal without a request id counts only as the first response on a connection.

--- a/toucanbackend/exchange.go
+++ b/toucanbackend/exchange.go
@@ -53,8 +53,8 @@
 
 // exchangeError is the error of a failed exchange.
 type exchangeError struct {
-	sent bool // whether a byte of the request may have reached the server
-	err  error
+	notSent bool // no byte of the request can have reached the server
+	err     error
 }
 
 func (e *exchangeError) Error() string { return e.err.Error() }
@@ -73,13 +73,13 @@
 func (r *Runner) exchange(ctx context.Context, s Server, c *toucanpeer.Call, deadline time.Time, tr *exchangeTrace) (resp *response, err error) {
 	conn, reused, err := r.getConn(ctx, s.Address, deadline, c)
 	if err != nil {
-		return nil, &exchangeError{err: err}
+		return nil, &exchangeError{notSent: true, err: err}
 	}
 	tr.reused = reused
 	reusable := false
 	if err := conn.SetDeadline(deadline); err != nil {
 		conn.Close()
-		return nil, &exchangeError{err: err}
+		return nil, &exchangeError{notSent: true, err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
@@ -92,16 +92,16 @@
 	conn.RequestBuf = r.appendRequest(conn.RequestBuf[:0], s, c, time.Until(deadline))
 	// After a failed write it is unknown whether bytes reached the server.
 	if _, err := conn.Write(conn.RequestBuf); err != nil {
-		return nil, &exchangeError{sent: true, err: err}
+		return nil, &exchangeError{err: err}
 	}
 	if len(c.Body) > maxCopiedBody {
 		if _, err := conn.Write(c.Body); err != nil {
-			return nil, &exchangeError{sent: true, err: err}
+			return nil, &exchangeError{err: err}
 		}
 	}
 	resp, reusable, err = r.readResponse(conn, c, tr)
 	if err != nil {
-		return nil, &exchangeError{sent: true, err: err}
+		return nil, &exchangeError{err: err}
 	}
 	return resp, nil
 }
@@ -160,8 +160,9 @@
 }
 
 // readResponse reads the response to the call. It skips informational responses
-// and late responses to earlier requests. reusable reports whether the connection
-// can be used again.
+// and late responses to earlier requests. A refusal without a request id is accepted
+// only as the first response on a connection, where it can belong to no other request.
+// reusable reports whether the connection can be used again.
 func (r *Runner) readResponse(conn *toucanconn.Conn, c *toucanpeer.Call, tr *exchangeTrace) (resp *response, reusable bool, err error) {
 	for range maxSkippedResponses {
 		conn.LimitHeader()
@@ -182,7 +183,7 @@
 		}
 		resp = &response{status: hr.StatusCode, header: hr.Header, body: body, held: held}
 		if id := hr.Header.Get(r.names.RequestID); id != c.ID {
-			if id == "" && (tr.reused || hr.Header.Get(r.names.NotRun) == "") {
+			if id == "" && (tr.reused || tr.skipped > 0 || hr.Header.Get(r.names.NotRun) == "") {
 				r.bodies.Release(held)
 				return nil, false, errNoRequestID
 			}
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -399,12 +399,14 @@
 func (r *Runner) resultOf(resp *response, err error) toucanpeer.Result {
 	var failure *exchangeError
 	switch {
-	case errors.As(err, &failure) && !failure.sent:
+	case errors.As(err, &failure) && failure.notSent:
 		return toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonConnect}
 	case err != nil:
 		return toucanpeer.Result{Outcome: toucancall.Unknown, Reason: toucancall.ReasonConnectionLost}
 	case r.notRun(resp):
 		return toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonBackendRefused, Status: resp.status}
+	case toucancall.PromisesNotRun(resp.status):
+		return toucanpeer.Result{Outcome: toucancall.Unknown, Reason: toucancall.ReasonUnprovenRefusal, Status: resp.status}
 	}
 	return toucanpeer.Result{Outcome: toucancall.Answered, Status: resp.status, Header: endToEndHeader(resp.header), Body: resp.body}
 }
