toucanentry: ask no node twice for a request

Cause: a node whose backend server refused a request stayed among the choices, but for 2 s a node answers an id from its record. The attempts went there again and got the same refusal, each with a retry from the budget.

Evidence: TestNoNodeIsAskedTwiceForARequest failed with [n0 n0 n1 n1 n2 n2] != [n0 n1 n2].

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -206,9 +206,7 @@
 		if q.attempts.Count() >= maxAttempts || !e.mayRetry(q, r) {
 			return e.respondUnanswered(q)
 		}
-		if r.Reason != toucancall.ReasonBackendRefused { // the same node may accept the next attempt
-			excluded = append(excluded, target.Address())
-		}
+		excluded = append(excluded, target.Address()) // a node answers an id that it knows from its record
 	}
 }
 
--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 	mu      sync.Mutex
 	script  []toucanpeer.Result
 	nextRun int
+	asked   []string // names of the nodes in the order of the attempts
 }
 
 // scriptedNode is one of the scriptedNodes. It implements toucanpeer.Handler.
@@ -53,6 +55,7 @@
 		r = n.script[n.nextRun]
 	}
 	n.nextRun++
+	n.asked = append(n.asked, n.member.Node)
 	r.Report = n.report()
 	return r
 }
@@ -79,7 +82,7 @@
 func (s *scriptedNodes) setScript(script []toucanpeer.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.script, s.nextRun = script, 0
+	s.script, s.nextRun, s.asked = script, 0, nil
 }
 
 type noMetrics struct{}
@@ -190,6 +193,19 @@
 	}
 }
 
+// Asking a node again for a request that its backend server refused uses up attempts, as
+// the node has recorded the refusal.
+func TestNoNodeIsAskedTwiceForARequest(t *testing.T) {
+	is := is.New(t)
+	e, nodes := newScriptedEntry(t, 3)
+	for i := range 20 {
+		nodes.setScript(parseScript(t, []string{"not_run/backend_refused*6"}))
+		is.Equal(send(e, "once", fmt.Sprintf("r%d", i)), http.StatusServiceUnavailable)
+		slices.Sort(nodes.asked)
+		is.Equal(nodes.asked, []string{"n0", "n1", "n2"})
+	}
+}
+
 // parseScript returns the results of a script: each word is an outcome, the reason or the
 // status after a slash, and how often it comes after an asterisk.
 func parseScript(t *testing.T, words []string) (script []toucanpeer.Result) {
