toucannode: a refusal on a kept connection must name its call

Callers were told not_run (503) for requests that a backend server was running or had run, and such a request ran at a second backend server, when a faulty backend server wrote an earlier refusal once more, after it had read the next request on a kept connection.

Cause: the product's own interface has no id in answers. The node took the first 503 with Toucan-Not-Run that came after its request for the answer to it.

Now a refusal counts only if it names the call in Toucan-Parent, a token that is new for each sending and that the backend server had to copy already for its child calls, or if the call is the first one on its connection, so that the refusal can belong to no other. Otherwise the outcome is unknown, with the reason unproven_refusal, and the connection is closed, since the answer may still follow. For 10 s after that, calls that must not be repeated are sent on new connections, so that a backend server which does not name its calls can still refuse them.

An answer of any status that names another call is not forwarded. An earlier answer, not a refusal, that is repeated without a name is still taken for the answer to the next call; nothing in it tells.

--- a/cmd/toucanstub/backend.go
+++ b/cmd/toucanstub/backend.go
@@ -199,6 +199,7 @@
 	active := b.chooseFault()
 	if active == faultShed || !b.acquireSlot(r.Context()) {
 		w.Header().Set(toucancall.HeaderNotRun, "true")
+		w.Header().Set(toucancall.HeaderParent, r.Header.Get(toucancall.HeaderParent))
 		http.Error(w, "load was shed", http.StatusServiceUnavailable)
 		return
 	}
--- a/toucanadmission/admission_test.go
+++ b/toucanadmission/admission_test.go
@@ -235,3 +235,24 @@
 		g.ObserveThreshold("ordini", "order", AdmitAll)
 	}
 }
+
+// Guards against a limit that rises while the backend server sheds load, because its
+// unproven refusals look like fast runs.
+func TestRefusalsLowerTheLimit(t *testing.T) {
+	for _, r := range []Result{
+		{Outcome: toucancall.NotRun, Reason: toucancall.ReasonBackendRefused},
+		{Outcome: toucancall.Unknown, Reason: toucancall.ReasonUnprovenRefusal},
+	} {
+		t.Run(string(r.Reason), func(t *testing.T) {
+			is := is.New(t)
+			clock := newTestClock()
+			c := NewController(clock, WithLimits(1, 8, 64))
+			for id := range uint64(200) {
+				is.Equal(c.OfferCall(Call{ID: id, Rank: urgentRank}).Verdict, Start)
+				clock.Advance(50 * time.Millisecond)
+				c.FinishCall(id, r)
+			}
+			is.Equal(c.Limit(), 1)
+		})
+	}
+}
--- a/toucanadmission/controller.go
+++ b/toucanadmission/controller.go
@@ -264,11 +264,12 @@
 	}
 	delete(c.running, id)
 	c.sampleUtilization()
-	if r.Outcome == toucancall.NotRun {
-		if r.Reason == toucancall.ReasonBackendRefused {
-			c.limiter.reduceAfterRefusal(now, len(c.running))
-			c.shedder.overloadSeen = true
-		}
+	refused := r.Reason == toucancall.ReasonBackendRefused || r.Reason == toucancall.ReasonUnprovenRefusal
+	if refused {
+		c.limiter.reduceAfterRefusal(now, len(c.running))
+		c.shedder.overloadSeen = true
+	}
+	if refused || r.Outcome == toucancall.NotRun {
 		return c.startQueued(now)
 	}
 	duration := now.Sub(run.started)
--- a/toucanbalance/picker_test.go
+++ b/toucanbalance/picker_test.go
@@ -284,3 +284,24 @@
 		})
 	}
 }
+
+// Guards against ejecting a server that sheds load.
+func TestSheddingServersAreNotEjected(t *testing.T) {
+	for _, r := range []Result{
+		{Outcome: toucancall.NotRun, Reason: toucancall.ReasonBackendRefused},
+		{Outcome: toucancall.Unknown, Reason: toucancall.ReasonUnprovenRefusal},
+	} {
+		t.Run(string(r.Reason), func(t *testing.T) {
+			is := is.New(t)
+			p, clock := newTestPicker()
+			p.Update(newTestServers(3, "a"))
+			for range 50 {
+				p.Start("s0")
+				clock.Advance(5 * time.Millisecond)
+				p.Done("s0", r)
+			}
+			p.refreshCandidates(clock.Now())
+			is.Equal(len(p.ejected), 0)
+		})
+	}
+}
--- a/toucanbalance/server.go
+++ b/toucanbalance/server.go
@@ -71,6 +71,9 @@
 			r.Reason == toucancall.ReasonAnswerForgotten || r.Reason == toucancall.ReasonNotForwarded {
 			return verdictNone
 		}
+		if r.Reason == toucancall.ReasonUnprovenRefusal {
+			return verdictShed
+		}
 		return verdictFailure
 	}
 	switch r.Reason {
--- a/toucancall/call.go
+++ b/toucancall/call.go
@@ -57,7 +57,8 @@
 	// ReasonBackendRefused means that the backend server said that it did not run the call.
 	ReasonBackendRefused Reason = "backend_refused"
 	// ReasonUnprovenRefusal means that the backend server answered with a status that
-	// promises "not run" and did not say that it did not run the call.
+	// promises "not run" and did not say that it did not run the call, or that its
+	// refusal may belong to another call.
 	ReasonUnprovenRefusal Reason = "unproven_refusal"
 	// ReasonNotForwarded means that this attempt was not forwarded, while an
 	// earlier or concurrent attempt with the same idempotency key may have run.
--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -25,6 +25,7 @@
 	extra             fields      // fields for this hop, which replace fields in header
 	body              *inboundBody
 	confirmStart      func() bool // called directly before the first byte is sent; nil if no check is needed
+	newConn           bool        // the request is sent on a new connection
 }
 
 // errKeyExpired is returned if confirmStart no longer allows the request to
@@ -68,6 +69,7 @@
 type exchange struct {
 	pool        *toucanconn.Pool
 	c           *toucanconn.Conn
+	reused      bool // the connection carried other requests before
 	resp        *http.Response
 	stopCancel  func() bool // stops the cancellation by ctx; returns false if it has happened
 	bodyWritten chan error  // receives the result of streaming the request body; nil if it is not streamed
@@ -84,11 +86,14 @@
 // passes.
 func sendRequest(ctx context.Context, p *toucanconn.Pool, deadline time.Time, addr string, out *outgoingRequest, onInterim interimHandler) (*exchange, error) {
 	for {
-		c, reused, err := p.Get(ctx, addr, deadline)
+		c, reused, err := getConn(ctx, p, deadline, addr, out.newConn)
 		if err != nil {
 			return nil, &sendError{err: err}
 		}
 		x, err := sendOnConn(ctx, p, c, deadline, out, onInterim)
+		if err == nil {
+			x.reused = reused
+		}
 		var failure *sendError
 		if reused && errors.As(err, &failure) && !failure.bytesSent && failure.err != errKeyExpired && ctx.Err() == nil && time.Now().Before(deadline) {
 			continue // the server closed the pooled connection before a byte was written
@@ -97,6 +102,19 @@
 	}
 }
 
+// getConn returns a connection from the pool or a new one. A connection that must be new
+// takes the place of an idle one, so that the server holds no more connections.
+func getConn(ctx context.Context, p *toucanconn.Pool, deadline time.Time, addr string, newConn bool) (c *toucanconn.Conn, reused bool, err error) {
+	if !newConn {
+		return p.Get(ctx, addr, deadline)
+	}
+	if idle := p.Pop(addr); idle != nil {
+		idle.Close()
+	}
+	c, err = p.Dial(ctx, addr, deadline)
+	return c, false, err
+}
+
 func sendOnConn(ctx context.Context, p *toucanconn.Pool, c *toucanconn.Conn, deadline time.Time, out *outgoingRequest, onInterim interimHandler) (x *exchange, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		c.Close()
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -264,7 +264,7 @@
 func isNodeAnswerField(key string) bool {
 	switch key {
 	case toucancall.HeaderOutcome, toucancall.HeaderReason, toucancall.HeaderThreshold, toucancall.HeaderLoad,
-		toucancall.HeaderRetriesLeft, toucancall.HeaderConfigRevision, toucancall.HeaderNotRun:
+		toucancall.HeaderRetriesLeft, toucancall.HeaderConfigRevision, toucancall.HeaderNotRun, toucancall.HeaderParent:
 		return true
 	}
 	return false
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -77,6 +77,8 @@
 	leaving     bool
 	unreachable bool // the last attempt to connect failed
 	inFlight    int
+
+	lastUnprovenRefusal time.Time
 }
 
 // beginRun counts a new run and returns the address of the backend server, or a
@@ -114,6 +116,24 @@
 	return l.inFlight
 }
 
+// unprovenRefusalPeriod is how long after an unproven refusal of the backend server the
+// calls that must not be repeated are sent on new connections.
+const unprovenRefusalPeriod = 10 * time.Second
+
+func (l *localBackend) recordUnprovenRefusal(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastUnprovenRefusal = now
+}
+
+// needsNewConns reports whether only a new connection lets the backend server refuse a
+// call with proof.
+func (l *localBackend) needsNewConns(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.lastUnprovenRefusal.IsZero() && now.Sub(l.lastUnprovenRefusal) < unprovenRefusalPeriod
+}
+
 // run is one call that is handled by the node beside the local backend server.
 type run struct {
 	n            *Node
@@ -266,6 +286,7 @@
 	if r.keyedRun != nil {
 		out.confirmStart = r.keyedRun.ConfirmStart
 	}
+	out.newConn = (r.atMostOnce || !isSafeMethod(out.method)) && n.local.needsNewConns(n.clock.Now())
 	x, err := sendRequest(ctx, n.backends, r.call.Deadline, address, out, forwardInterim(r.in.w))
 	if err != nil {
 		rep := n.classifySendError(ctx, err, r.in.body)
@@ -275,7 +296,11 @@
 		return r.finish(rep)
 	}
 	r.status = x.resp.StatusCode
-	if r.status == http.StatusServiceUnavailable && x.resp.Header.Get(toucancall.HeaderNotRun) == "true" {
+	if rep := r.rejectAnswer(x); rep != nil {
+		x.close() // the answer to this call may still follow
+		return r.finish(rep)
+	}
+	if saysNotRun(x.resp) {
 		rep := n.bufferAnswer(ctx, r.call.Deadline, x, out, true)
 		if rep.rest != nil {
 			rep.rest.finish(out.body)
@@ -289,6 +314,29 @@
 	return r.finish(rep)
 }
 
+// rejectAnswer returns a reply in place of an answer that may belong to an earlier call on
+// the connection, or nil. Of the answers that do not name their call, only a refusal is
+// rejected, and only on a connection that was used before.
+func (r *run) rejectAnswer(x *exchange) *reply {
+	switch x.resp.Header.Get(toucancall.HeaderParent) {
+	case r.parent.token:
+		return nil
+	case "":
+		if !x.reused || !saysNotRun(x.resp) {
+			return nil
+		}
+		r.n.local.recordUnprovenRefusal(r.n.clock.Now())
+		return refusalReply(toucancall.Unknown, toucancall.ReasonUnprovenRefusal,
+			"the refusal does not name the call and came on a used connection")
+	}
+	return refusalReply(toucancall.Unknown, toucancall.ReasonConnectionLost, "the answer names another call")
+}
+
+// saysNotRun reports whether the backend server says that it did not run the call.
+func saysNotRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(toucancall.HeaderNotRun) == "true"
+}
+
 // backendFields returns the header fields that the node sets on the request to
 // the backend server.
 func (r *run) backendFields() fields {
