toucanbackend: cut further responses at every byte

A response that ends in the middle of its head, its body, a chunk or its trailer is an unknown outcome here, closed or reset, first or second on its connection. No fault was found; TestCutResponseIsNotAnswered now cuts 15 responses instead of 5, among them HEAD, 204, 304, HTTP/1.0, several 1xx and a refusal, also as the second one on a kept connection, and asks for the outcome unknown where it asked for any but answered.

--- a/toucanbackend/trouble_test.go
+++ b/toucanbackend/trouble_test.go
@@ -63,40 +63,70 @@
 // A response that ends early must not be taken for a complete one, at whatever byte it
 // ends.
 func TestCutResponseIsNotAnswered(t *testing.T) {
-	for _, tt := range []struct{ name, response string }{
-		{"length", responseHead + "Content-Length: 5\r\n\r\nhello"},
-		{"chunked", responseHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;ext=1\r\nlo\r\n0\r\n\r\n"},
-		{"trailer", responseHead + "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n"},
-		{"after_informational", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + responseHead + "Content-Length: 5\r\n\r\nhello"},
-		{"no_length", responseHead + "Connection: close\r\n\r\nhello"}, // complete only if the connection ends in order
+	for _, tt := range []struct{ name, method, response string }{
+		{"length", "POST", responseHead + "Content-Length: 5\r\n\r\nhello"},
+		{"length_first", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Response-Signature: s\r\nX-Request-Id: x\r\n\r\nhello"},
+		{"empty", "POST", responseHead + "Content-Length: 0\r\n\r\n"},
+		{"chunked", "POST", responseHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;ext=1\r\nlo\r\n0\r\n\r\n"},
+		{"trailer", "POST", responseHead + "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n"},
+		{"after_informational", "POST", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + responseHead + "Content-Length: 5\r\n\r\nhello"},
+		{"after_continue", "POST", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + responseHead + "Content-Length: 5\r\n\r\nhello"},
+		{"no_length", "POST", responseHead + "Connection: close\r\n\r\nhello"}, // complete only if the connection ends in order
+		{"no_length_http_1_0", "POST", strings.Replace(responseHead, "1.1", "1.0", 1) + "\r\nhello"},
+		{"no_content", "POST", strings.Replace(responseHead, "200 OK", "204 No Content", 1) + "\r\n"},
+		{"not_modified", "GET", strings.Replace(responseHead, "200 OK", "304 Not Modified", 1) + "Content-Length: 5\r\n\r\n"},
+		{"head", "HEAD", responseHead + "Content-Length: 5\r\n\r\n"},
+		{"head_no_length", "HEAD", responseHead + "\r\n"},
+		{"failure", "POST", strings.Replace(responseHead, "200 OK", "500 Internal Server Error", 1) + "Content-Length: 2\r\n\r\nno"},
+		{"refusal", "POST", "HTTP/1.1 503 Busy\r\nX-Request-Id: x\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"},
 	} {
-		for _, reset := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s/reset=%v", tt.name, reset), func(t *testing.T) {
-				var sent atomic.Int64
-				r, _ := rawServer(t, func(c *net.TCPConn) {
-					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-						return
-					}
-					io.WriteString(c, tt.response[:sent.Load()])
-					if reset {
-						time.Sleep(2 * time.Millisecond) // lets the bytes arrive before the reset discards them
-						c.SetLinger(0)
+		for _, kept := range []bool{false, true} { // the response is the second one on its connection
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/kept=%v/reset=%v", tt.name, kept, reset), func(t *testing.T) {
+					var sent, cut atomic.Int64
+					r, _ := rawServer(t, func(c *net.TCPConn) {
+						in := bufio.NewReader(c)
+						for first := true; ; first = false {
+							if _, err := http.ReadRequest(in); err != nil {
+								return
+							}
+							if kept && first {
+								io.WriteString(c, strings.Replace(responseHead, ": x", ": first", 1)+"Content-Length: 2\r\n\r\nok")
+								continue
+							}
+							break
+						}
+						cut.Add(1)
+						io.WriteString(c, tt.response[:sent.Load()])
+						if reset {
+							time.Sleep(2 * time.Millisecond) // lets the bytes arrive before the reset discards them
+							c.SetLinger(0)
+						}
+					})
+					endsWithConn := strings.HasPrefix(tt.name, "no_length")
+					for n := range len(tt.response) {
+						if endsWithConn && !reset && n >= strings.Index(tt.response, "\r\n\r\n")+4 {
+							break // without a length, a connection that ends in order ends the response
+						}
+						sent.Store(int64(n))
+						if kept {
+							first := newCall("first")
+							if got := freshRun(r, first); got.Outcome != toucancall.Answered {
+								t.Fatalf("the first call on the connection has outcome %s", got.Outcome)
+							}
+						}
+						c := newCall("x")
+						c.Method = tt.method
+						got := freshRun(r, c)
+						if got.Outcome != toucancall.Unknown {
+							t.Fatalf("%d of %d bytes: outcome %s, status %d and body %q", n, len(tt.response), got.Outcome, got.Status, got.Body)
+						}
+						if cut.Load() != int64(n+1) {
+							t.Fatalf("%d of %d bytes: the server had %d calls, want %d", n, len(tt.response), cut.Load(), n+1)
+						}
 					}
 				})
-				whole := strings.Contains(tt.response, "Connection: close")
-				for n := range len(tt.response) {
-					if whole && !reset && n >= strings.Index(tt.response, "\r\n\r\n")+4 {
-						break // without a length, a connection that ends in order ends the response
-					}
-					sent.Store(int64(n))
-					c := newCall("x")
-					c.ID = "x"
-					got := freshRun(r, c)
-					if got.Outcome == toucancall.Answered {
-						t.Fatalf("%d of %d bytes: answered with status %d and body %q", n, len(tt.response), got.Status, got.Body)
-					}
-				}
-			})
+			}
 		}
 	}
 }
