toucannode: show that a cut answer is not forwarded as whole

The answer of a backend server or of the next node, cut at every byte of its head and its body, chunks or trailer, closed or reset, first or second on its connection, reaches the caller as unknown, as failed or as a broken connection. No fault was found: net/http takes no head without its empty line, and an answer without length or chunks is failed.

--- /dev/null
+++ b/toucannode/cut_test.go
@@ -0,0 +1,172 @@
+package toucannode
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"toucanhaven/toucanbalance"
+	"toucanhaven/toucancall"
+)
+
+// TestCutAnswerIsNotWhole guards against an answer that ended early and reaches the
+// caller framed as whole, at whatever byte it ended.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedAnswerBytes+100)
+	for _, tt := range []struct {
+		name, method, answer string
+		from                 int // cuts before this byte are left out
+	}{
+		{"length", "POST", "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\nhello", 0},
+		{"empty", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n", 0},
+		{"chunked", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;ext=1\r\nlo\r\n0\r\n\r\n", 0},
+		{"trailer", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n", 0},
+		{"after_informational", "POST", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 0},
+		{"no_length", "POST", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello", 0},
+		{"no_length_http_1_0", "POST", "HTTP/1.0 200 OK\r\nX-A: b\r\n\r\nhello", 0},
+		{"no_content", "POST", "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n", 0},
+		{"not_modified", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 0},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\n", 0},
+		{"failure", "POST", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno", 0},
+		{"long", "POST", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), len(long)},
+		{"long_chunked", "POST", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), len(long)},
+	} {
+		for _, kept := range []bool{false, true} { // the answer is the second one on its connection
+			for _, reset := range []bool{false, true} {
+				for _, hops := range []int{1, 2} {
+					t.Run(fmt.Sprintf("%s/kept=%v/reset=%v/%d", tt.name, kept, reset, hops), func(t *testing.T) {
+						t.Parallel()
+						var sent, cut atomic.Int64
+						b := newScriptedBackend(t, func(c *scriptedConn) {
+							for first := true; ; first = false {
+								if c.readRequest() == nil {
+									return
+								}
+								if kept && first {
+									io.WriteString(c, wholeAnswer)
+									continue
+								}
+								break
+							}
+							cut.Add(1)
+							io.WriteString(c, tt.answer[:sent.Load()])
+							if reset {
+								time.Sleep(2 * time.Millisecond) // lets the bytes arrive before the reset discards them
+								c.SetLinger(0)
+							}
+						})
+						f := newTestFleet(t)
+						node := f.startNode("", nil)
+						node.announceBackend("ordini", b.Addr().String())
+						entry := node
+						if hops == 2 {
+							entry = f.startNode("", nil)
+						}
+						for n := tt.from; n < len(tt.answer); n++ {
+							sent.Store(int64(n))
+							if kept {
+								if got := rawExchange(t, entry, "POST", "1.1"); got.outcome != "answered" || got.body != "ok" {
+									t.Fatalf("the first answer on the connection is %+v", got)
+								}
+							}
+							before := cut.Load()
+							got := rawExchange(t, entry, tt.method, "1.1")
+							if cut.Load() == before {
+								t.Fatalf("%d of %d bytes: the backend server had no request: %+v", n, len(tt.answer), got)
+							}
+							if got.whole && (got.status < 500 || !strings.HasPrefix(got.outcome, "unknown ") && !strings.HasPrefix(got.outcome, "failed ")) {
+								t.Fatalf("%d of %d bytes: the caller got %+v", n, len(tt.answer), got)
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestCutAnswerOfNodeIsNotWhole guards against an answer or a refusal of the next node
+// that ended early and reaches the caller framed as whole or as a promise.
+func TestCutAnswerOfNodeIsNotWhole(t *testing.T) {
+	const report = "Toucan-Threshold: 1s/0.9/127\r\nToucan-Load: 0.5\r\nToucan-Retries-Left: 0\r\nToucan-Config-Revision: 1\r\n"
+	for _, tt := range []struct{ name, method, answer string }{
+		{"length", "POST", "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\n" + report + "Content-Length: 5\r\n\r\nhello"},
+		{"chunked", "POST", "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+		{"trailer", "POST", "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\nTrailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n"},
+		{"no_length", "POST", "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\nConnection: close\r\n\r\nhello"},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\nContent-Length: 5\r\n\r\n"},
+		{"no_content", "POST", "HTTP/1.1 204 No Content\r\nToucan-Outcome: answered\r\nX-A: b\r\n\r\n"},
+		{"refusal", "POST", "HTTP/1.1 503 Service Unavailable\r\nToucan-Outcome: not_run\r\nToucan-Reason: overload\r\n" + report + "Content-Length: 0\r\n\r\n"},
+		{"no_outcome", "POST", "HTTP/1.1 503 Service Unavailable\r\nToucan-Not-Run: true\r\nContent-Length: 5\r\n\r\nhello"},
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/reset=%v", tt.name, reset), func(t *testing.T) {
+				t.Parallel()
+				var sent, calls atomic.Int64
+				peer := newScriptedBackend(t, func(c *scriptedConn) {
+					if c.readRequest() == nil {
+						return
+					}
+					calls.Add(1)
+					io.WriteString(c, tt.answer[:sent.Load()])
+					if reset {
+						time.Sleep(2 * time.Millisecond) // lets the bytes arrive before the reset discards them
+						c.SetLinger(0)
+					}
+				})
+				f := newTestFleet(t)
+				f.directory.Announce("ordini", toucanbalance.Server{ID: "peer", PeerAddress: peer.Addr().String(), State: toucanbalance.Alive})
+				entry := f.startNode("", nil)
+				for n := range len(tt.answer) {
+					sent.Store(int64(n))
+					before := calls.Load()
+					got := rawExchange(t, entry, tt.method, "1.1")
+					if calls.Load() == before {
+						t.Fatalf("%d of %d bytes: the node had no request: %+v", n, len(tt.answer), got)
+					}
+					if got.whole && (got.status < 500 || !strings.HasPrefix(got.outcome, "unknown ") && !strings.HasPrefix(got.outcome, "failed ")) {
+						t.Fatalf("%d of %d bytes: the caller got %+v", n, len(tt.answer), got)
+					}
+				}
+			})
+		}
+	}
+}
+
+// rawAnswer is an answer as a caller reads it.
+type rawAnswer struct {
+	whole         bool
+	status        int
+	outcome, body string
+}
+
+// rawExchange sends a request on a new connection and reads the answer by its framing.
+func rawExchange(t *testing.T, n *Node, method, version string) rawAnswer {
+	t.Helper()
+	c, err := net.Dial("tcp", n.Addresses().Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "%s /orders HTTP/%s\r\nHost: h\r\nToucan-Service: ordini\r\nToucan-Timeout: 2000\r\nContent-Length: 0\r\n\r\n", method, version)
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, &http.Request{Method: method})
+	for err == nil && resp.StatusCode < http.StatusOK {
+		resp, err = http.ReadResponse(in, &http.Request{Method: method})
+	}
+	if err != nil {
+		return rawAnswer{}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return rawAnswer{
+		whole: err == nil, status: resp.StatusCode, body: string(body),
+		outcome: strings.TrimSpace(resp.Header.Get(toucancall.HeaderOutcome) + " " + resp.Header.Get(toucancall.HeaderReason)),
+	}
+}
