toucannode: reset a broken answer to an HTTP/1.0 caller

A caller that speaks HTTP/1.0 got a 200 with a part of the body, framed as whole, when a backend server sent its answer in chunks and stopped in the middle.

Cause: such a caller knows no chunks, so the close of its connection ends the body, and the node closed the connection in order to break the answer off.

Evidence: TestCutAnswerToOldCaller, four cases before: "the caller got status 200, outcome answered and 3 bytes, whole true" (and 32868 bytes for a long answer).

Now the connection is set to be reset when it is closed before the answer starts, and set back once the answer is complete, so that the end of the process resets it too.

--- a/toucannode/cut_test.go
+++ b/toucannode/cut_test.go
@@ -139,6 +139,40 @@
 	}
 }
 
+// TestCutAnswerToOldCaller guards against an answer of unknown length that ended early
+// and looks whole to a caller that knows no chunks.
+func TestCutAnswerToOldCaller(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedAnswerBytes+100)
+	for _, tt := range []struct {
+		name, answer string
+		whole        int // bytes of the body that must arrive, 0 if it is cut
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", 0},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n", 0},
+		{"long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long)+1, long), 0},
+		{"long_chunked", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(long), long), 0},
+		{"whole_chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n0\r\n\r\n", 3},
+		{"whole_long_chunked", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), len(long)},
+	} {
+		for _, hops := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s/%d", tt.name, hops), func(t *testing.T) {
+				f := newTestFleet(t)
+				b := newRawBackend(t, tt.answer, false)
+				node := f.startNode("", nil)
+				node.announceBackend("ordini", b.Addr().String())
+				entry := node
+				if hops == 2 {
+					entry = f.startNode("", nil)
+				}
+				got := rawExchange(t, entry, "POST", "1.0")
+				if success := got.whole && got.status < 500; success != (tt.whole > 0) || success && len(got.body) != tt.whole {
+					t.Errorf("the caller got status %d, outcome %q and %d bytes, whole %v", got.status, got.outcome, len(got.body), got.whole)
+				}
+			})
+		}
+	}
+}
+
 // rawAnswer is an answer as a caller reads it.
 type rawAnswer struct {
 	whole         bool
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -314,6 +314,7 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     log.New(serverErrorWriter{n.log}, "", 0),
+		ConnContext:                  withConn,
 	}
 }
 
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -169,6 +170,10 @@
 		return
 	}
 	rep.announceTrailer(h, rep.rest.resp.Trailer)
+	endsWithConn := rep.length < 0 && !in.r.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		setResetOnClose(in.r, true)
+	}
 	outcome, reason := n.streamAnswer(w, rep)
 	rep.rest.finish(rep.requestBody)
 	if rep.onEnd != nil {
@@ -177,9 +182,32 @@
 	if outcome != toucancall.Answered {
 		panic(http.ErrAbortHandler)
 	}
+	if endsWithConn {
+		setResetOnClose(in.r, false)
+	}
 	rep.copyTrailer(h, rep.rest.resp.Trailer)
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// setResetOnClose sets whether the connection of the request is reset when it is closed,
+// also if the process ends. An HTTP/1.0 caller takes an orderly close for the end of an
+// answer without a length.
+func setResetOnClose(r *http.Request, reset bool) {
+	linger := -1 // the default
+	if reset {
+		linger = 0
+	}
+	if c, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = c.SetLinger(linger) // fails only on a closed connection
+	}
+}
+
 // bodyUnread reports whether a part of the request body has not been received.
 func bodyUnread(in *inboundRequest) bool {
 	if in.r.Body == nil || in.r.Body == http.NoBody {
