toucannode, toucancaller: a key of the caller binds only in at-most-once classes

A Go program was told Refused, did not run and will not, for a request with a key of its own whose first attempt had run: the answer was lost, and the second attempt was refused.

Cause: the package toucancaller takes the refusal of a request with a key for the word of the home of the key, which speaks of all attempts. Nodes give a key of the caller's own a home only if the class is at-most-once. In other classes a refusal speaks of one attempt, and nothing told which it was.

Now a node marks the refusals that hold for all attempts with the key with Toucan-Keyed, and toucancaller relies on them only with that mark or with an issued key, which binds in any class. A node without the mark gives Unknown.

--- a/toucancall/header.go
+++ b/toucancall/header.go
@@ -31,6 +31,7 @@
 	HeaderRetriesLeft    = "Toucan-Retries-Left"
 	HeaderConfigRevision = "Toucan-Config-Revision"
 	HeaderNotRun         = "Toucan-Not-Run"
+	HeaderKeyed          = "Toucan-Keyed" // set if the outcome holds for all attempts with the idempotency key
 )
 
 // Bounds on metadata. A call with a value beyond its bound is refused, or the value
--- a/toucancaller/caller.go
+++ b/toucancaller/caller.go
@@ -50,7 +50,8 @@
 	AtMostOnce bool
 	// IdempotencyKey is a key chosen by the caller, which is used instead of an issued
 	// one. The nodes can serve a request with such a key only while the KV is
-	// reachable. The key prevents a second run for 10 minutes after its first use.
+	// reachable. In an at-most-once class, the key prevents a second run for 10 minutes
+	// after its first use; in another class it does not.
 	IdempotencyKey string
 	// NewKey says that IdempotencyKey has not been used before, in this process or
 	// another. Only then is a request that no entry forwarded Refused; otherwise it
--- a/toucancaller/caller_test.go
+++ b/toucancaller/caller_test.go
@@ -103,6 +103,14 @@
 	respondNotForwarded = respondOutcome(toucancall.Unknown, toucancall.ReasonNotForwarded, 504)
 )
 
+// respondKeyed marks the outcome as one that holds for all attempts with the key.
+func respondKeyed(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(toucancall.HeaderKeyed, "true")
+		h(w, r)
+	}
+}
+
 // respondRaw writes text to the connection and closes it.
 func respondRaw(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
@@ -158,6 +166,8 @@
 		{"unknown_read_is_retried", 3, getParts, []http.HandlerFunc{respondUnknown}, connectionLost, 4},
 		{"refusal_after_unknown_read", 1, getParts, []http.HandlerFunc{respondUnknown, respondRefused}, Unknown{Reason: toucancall.ReasonOverload}, 2},
 		{"refusal_after_unknown_with_key", 1, issuedKeyOrder, []http.HandlerFunc{respondUnknown, respondRefused}, refusedOverload, 2},
+		{"refusal_after_unknown_with_caller_key", 1, newKeyOrder, []http.HandlerFunc{respondUnknown, respondRefused}, Unknown{Reason: toucancall.ReasonOverload}, 2},
+		{"keyed_refusal_after_unknown_with_caller_key", 1, newKeyOrder, []http.HandlerFunc{respondUnknown, respondKeyed(respondRefused)}, refusedOverload, 2},
 		{"malformed_after_unknown_with_key", 1, issuedKeyOrder, []http.HandlerFunc{respondUnknown, respondOutcome(toucancall.NotRun, toucancall.ReasonBadRequest, 503)},
 			Unknown{Reason: toucancall.ReasonBadRequest}, 2},
 		{"only_attempt_not_forwarded", 0, issuedKeyOrder, []http.HandlerFunc{respondNotForwarded}, refusedNotForwarded, 1},
--- a/toucancaller/exchange.go
+++ b/toucancaller/exchange.go
@@ -26,6 +26,8 @@
 	// mayHaveRun says that an earlier attempt with the current key, or without a
 	// key, may have run.
 	mayHaveRun bool
+	// keyed says that the last response holds for all attempts with the key.
+	keyed bool
 }
 
 // run sends the request until an answer must not be retried, the maximum number of
@@ -62,7 +64,7 @@
 func (e *exchange) combineAttempts(a Answer) Answer {
 	switch result := a.(type) {
 	case Refused:
-		if e.mayHaveRun && !(e.key != "" && refusedAtHome(result.Reason)) {
+		if e.mayHaveRun && !(e.keyBinds() && refusedAtHome(result.Reason)) {
 			return Unknown{Reason: result.Reason}
 		}
 		e.mayHaveRun = false
@@ -80,6 +82,13 @@
 	return a
 }
 
+// keyBinds reports whether the last refusal speaks of all attempts with the key. An
+// issued key always binds them, one of the caller only if the class is at-most-once,
+// which the node tells.
+func (e *exchange) keyBinds() bool {
+	return e.key != "" && (e.request.IdempotencyKey == "" || e.keyed)
+}
+
 // refusedAtHome reports whether a refusal of a request with a key also holds for
 // earlier attempts with the same key. Other refusals hold for one attempt only.
 func refusedAtHome(reason toucancall.Reason) bool {
@@ -125,6 +134,7 @@
 			return Unknown{Reason: toucancall.ReasonConnectionLost}
 		}
 		c.setEntryIndex(n)
+		e.keyed = response.Header.Get(toucancall.HeaderKeyed) == "true"
 		a := c.readAnswer(response, e.request.Method)
 		if _, ok := a.(Answered); !ok {
 			c.setEntryIndex(n + 1) // send the next attempt through another entry
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -52,6 +52,9 @@
 	if r := rep.refusal; r != nil {
 		outcome, known = r.Outcome, known && r.Reason != toucancall.ReasonNoBackend
 		n.metrics.countRefusal(e.call, r, known)
+		if e.keyed() {
+			w.Header().Set(toucancall.HeaderKeyed, "true")
+		}
 	}
 	if e.keyed() {
 		n.metrics.increment("toucan_keyed_requests_total", "outcome", string(outcome))
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -292,7 +292,8 @@
 func isNodeAnswerField(key string) bool {
 	switch key {
 	case toucancall.HeaderOutcome, toucancall.HeaderReason, toucancall.HeaderThreshold, toucancall.HeaderLoad,
-		toucancall.HeaderRetriesLeft, toucancall.HeaderConfigRevision, toucancall.HeaderNotRun, toucancall.HeaderParent:
+		toucancall.HeaderRetriesLeft, toucancall.HeaderConfigRevision, toucancall.HeaderNotRun, toucancall.HeaderParent,
+		toucancall.HeaderKeyed:
 		return true
 	}
 	return false
