toucannode: decide by the record of attempts whether a request may have run

The entry kept a flag that each change to the loop had to keep right. It now uses toucancall.Attempts like the mesh path: an attempt is recorded as unknown before it is sent, and "not run" needs all attempts to have ended with it. No fault was found; TestRefusedRetryAfterLostAnswerIsUnknown covers the decision.

--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -214,7 +214,7 @@
 	n := e.n
 	var excluded []string
 	var last *reply
-	mayHaveRun := false // whether an earlier attempt may have run
+	var attempts toucancall.Attempts
 	for {
 		if e.call.Remaining(n.clock.Now()) < minRemainingTime {
 			return e.lastReply(last, toucancall.ReasonDeadline, "")
@@ -223,14 +223,13 @@
 		if !ok {
 			return e.lastReply(last, toucancall.ReasonNoBackend, "no backend server of the service is known")
 		}
+		attempts = attempts.WithAttempt(server.ID)
 		last = e.makeAttempt(ctx, server)
+		attempts = attempts.WithOutcome(last.outcome())
 		e.sentWithoutReply = e.sentWithoutReply || last.decidedHere && last.refusal.Outcome != toucancall.NotRun
-		if mayHaveRun && home == "" && last.refusal != nil && last.refusal.Outcome == toucancall.NotRun {
-			// This server did not run the call, but an earlier attempt may have
-			// run. Only the home of a key knows whether it did.
-			last.refusal = &Refusal{Outcome: toucancall.Unknown, Reason: last.refusal.Reason, Detail: last.refusal.Detail}
+		if _, proven := attempts.ProveNotRun(); !proven && home == "" {
+			last.withdrawNotRun() // only the home of a key knows of the other attempts
 		}
-		mayHaveRun = mayHaveRun || last.refusal != nil && last.refusal.Outcome != toucancall.NotRun
 		if last.refusal == nil || !e.mayRetry(last, home) {
 			return last
 		}
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -62,6 +62,20 @@
 	return refusalReply(toucancall.NotRun, reason, detail)
 }
 
+func (r *reply) outcome() (toucancall.Outcome, toucancall.Reason) {
+	if r.refusal == nil {
+		return toucancall.Answered, ""
+	}
+	return r.refusal.Outcome, r.refusal.Reason
+}
+
+// withdrawNotRun replaces the outcome "not run" by "unknown".
+func (r *reply) withdrawNotRun() {
+	if f := r.refusal; f != nil && f.Outcome == toucancall.NotRun {
+		r.refusal = &Refusal{Outcome: toucancall.Unknown, Reason: f.Reason, Detail: f.Detail}
+	}
+}
+
 // bufferAnswer reads an answer of up to maxBufferedAnswerBytes completely and
 // leaves a longer one to be streamed. An answer of unknown length is streamed
 // as well, unless bufferUnknownLength is set and it turns out to be short
