toucancall: a call at its deadline is not malformed

A caller could get 400 bad_request for a sound request, which no client repeats, where it should get 503 with the reason deadline: less than a millisecond was left when its node sent it on, so that the next node read a Toucan-Timeout of 0.

Evidence: TestFromNodeAtTheDeadline, before: "header Toucan-Timeout: \"0\": want a positive number of milliseconds". The least value is 1 now.

--- a/toucancall/header.go
+++ b/toucancall/header.go
@@ -138,7 +138,7 @@
 func (c Call) EachHeader(now time.Time, set func(field, value string)) {
 	set(HeaderService, c.Service)
 	set(HeaderRequestID, c.RequestID)
-	set(HeaderTimeout, strconv.FormatInt(c.Remaining(now).Milliseconds(), 10))
+	set(HeaderTimeout, strconv.FormatInt(max(1, c.Remaining(now).Milliseconds()), 10)) // 0 is malformed
 	set(HeaderClass, c.Class)
 	set(HeaderRank, c.Rank.String())
 	set(HeaderLevel, strconv.Itoa(c.Level))
--- a/toucancall/header_test.go
+++ b/toucancall/header_test.go
@@ -86,3 +86,18 @@
 		}
 	})
 }
+
+// Guards against a node that refuses a call as malformed because less than a millisecond
+// was left when it was sent.
+func TestFromNodeAtTheDeadline(t *testing.T) {
+	for _, left := range []time.Duration{time.Microsecond, 0, -time.Second} {
+		t.Run(left.String(), func(t *testing.T) {
+			is := is.New(t)
+			h := http.Header{}
+			Call{Service: "s", Class: "c", Deadline: testNow.Add(left)}.SetHeaders(h, testNow)
+			c, err := FromNode(h, testNow)
+			is.NoErr(err)
+			is.Equal(c.Deadline, testNow.Add(time.Millisecond))
+		})
+	}
+}
