toucancaller: show that a cut answer is neither Answered nor Refused

The answer of a node, cut at every byte, with a length, chunks, a trailer or neither, after an informational answer, to HEAD, with 204 and as a refusal. No fault was found.

--- a/toucancaller/caller_test.go
+++ b/toucancaller/caller_test.go
@@ -303,3 +303,40 @@
 		t.Errorf("%d malformed requests were sent", len(n.receivedHeaders()))
 	}
 }
+
+// Guards against an answer or a refusal that ended early and counts as whole, at whatever
+// byte it ended.
+func TestCutAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\n"
+	for _, tt := range []struct{ name, method, answer string }{
+		{"length", "POST", head + "Content-Length: 5\r\n\r\nhello"},
+		{"chunked", "POST", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"},
+		{"trailer", "POST", head + "Trailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n"},
+		{"no_length", "POST", head + "Connection: close\r\n\r\nhello"},
+		{"after_informational", "POST", "HTTP/1.1 103 Early Hints\r\nToucan-Outcome: not_run\r\n\r\n" + head + "Content-Length: 5\r\n\r\nhello"},
+		{"head", "HEAD", head + "Content-Length: 5\r\n\r\n"},
+		{"no_content", "POST", "HTTP/1.1 204 No Content\r\nToucan-Outcome: answered\r\n\r\n"},
+		{"refusal", "POST", "HTTP/1.1 503 Service Unavailable\r\nToucan-Outcome: not_run\r\nToucan-Reason: overload\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var handlers []http.HandlerFunc
+			for n := range len(tt.answer) {
+				handlers = append(handlers, respondRaw(tt.answer[:n]))
+			}
+			node := startTestNode(nil, handlers...)
+			defer node.Close()
+			c := newTestClient(t, 0, node)
+			for n := range len(tt.answer) {
+				a, err := c.Do(t.Context(), Request{Service: "ordini", Method: tt.method, Path: "/orders"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				switch a.(type) {
+				case Failed, Unknown:
+				default:
+					t.Errorf("%d of %d bytes: got %T %+v", n, len(tt.answer), a, a)
+				}
+			}
+		})
+	}
+}
