toucannode: interim answers hide the fields of nodes

A 1xx answer of a backend server reached the caller with the fields that only nodes may set, among them the token of the running call, if the backend server copies Toucan-Parent onto its answers. A final answer loses them; an interim one does too now.

Evidence: TestInterimAnswerHidesNodeFields, before: the caller read the token.

--- a/toucannode/refusal_test.go
+++ b/toucannode/refusal_test.go
@@ -237,3 +237,35 @@
 		is.Equal(resp.Header.Get(toucancall.HeaderParent), "")
 	}
 }
+
+// TestInterimAnswerHidesNodeFields guards against the token of a running call, or an
+// outcome made up by a backend server, reaching the caller in an interim answer.
+func TestInterimAnswerHidesNodeFields(t *testing.T) {
+	for _, hops := range []int{1, 2} {
+		t.Run(fmt.Sprint(hops), func(t *testing.T) {
+			is := is.New(t)
+			b := newScriptedBackend(t, func(c *scriptedConn) {
+				for req := c.readRequest(); req != nil; req = c.readRequest() {
+					io.WriteString(c, namedAnswer("HTTP/1.1 103 Early Hints\r\nLink: a\r\nToucan-Outcome: not_run\r\n\r\n", req)+wholeAnswer)
+				}
+			})
+			f := newTestFleet(t)
+			node := f.startNode("", nil)
+			node.announceBackend("ordini", b.Addr().String())
+			entry := node
+			if hops == 2 {
+				entry = f.startNode("", nil)
+			}
+			c, err := net.Dial("tcp", entry.Addresses().Caller)
+			is.NoErr(err)
+			defer c.Close()
+			io.WriteString(c, "GET /orders HTTP/1.1\r\nHost: h\r\nToucan-Service: ordini\r\n\r\n")
+			interim, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(interim.StatusCode, http.StatusEarlyHints)
+			is.Equal(interim.Header.Get("Link"), "a")
+			is.Equal(interim.Header.Get(toucancall.HeaderParent), "")
+			is.Equal(interim.Header.Get(toucancall.HeaderOutcome), "")
+		})
+	}
+}
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -396,7 +396,7 @@
 	return func(status int, h http.Header) {
 		header := w.Header()
 		for key, values := range h {
-			if !toucancall.IsHopByHop(key, h["Connection"]) {
+			if !toucancall.IsHopByHop(key, h["Connection"]) && !isNodeAnswerField(key) {
 				header[key] = values
 			}
 		}
