--- a/toucannode/retry_outcome_test.go
+++ b/toucannode/retry_outcome_test.go
@@ -1,10 +1,13 @@
 package toucannode
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -107,3 +110,75 @@
 		})
 	}
 }
+
+// scriptedAdmission gives calls their slots or refuses them as admit says.
+type scriptedAdmission struct {
+	Admission
+	admit func(Admission, context.Context, toucancall.Call) (Slot, toucancall.Reason)
+}
+
+func (a scriptedAdmission) Admit(ctx context.Context, c toucancall.Call) (Slot, toucancall.Reason) {
+	return a.admit(a.Admission, ctx, c)
+}
+
+// TestRefusedCallsNeverRun guards against a request that runs although a node refused it,
+// also if it is sent again with the same key.
+func TestRefusedCallsNeverRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(entry, server *Node)
+		want   string
+	}{
+		{"gate", func(entry, _ *Node) { entry.gate = refusingGate{} }, "not_run overload"},
+		{"queue", withAdmission(func(Admission, context.Context, toucancall.Call) (Slot, toucancall.Reason) {
+			return nil, toucancall.ReasonOverload
+		}), "not_run overload"},
+		{"queued_past_the_deadline", withAdmission(func(Admission, context.Context, toucancall.Call) (Slot, toucancall.Reason) {
+			return nil, toucancall.ReasonDeadline
+		}), "not_run deadline"},
+		{"slot_past_the_deadline", withAdmission(func(a Admission, ctx context.Context, c toucancall.Call) (Slot, toucancall.Reason) {
+			slot, reason := a.Admit(ctx, c)
+			time.Sleep(time.Until(c.Deadline))
+			return slot, reason
+		}), "not_run deadline"},
+		{"server_leaving", func(_, server *Node) {
+			server.local.mu.Lock()
+			defer server.local.mu.Unlock()
+			server.local.leaving = true
+		}, "not_run leaving"},
+	}
+	for _, tt := range tests {
+		for _, keyed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/keyed=%v", tt.name, keyed), func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t)
+				s := &orders{}
+				server := f.startNode("ordini", s)
+				entry, other := f.startNode("", nil), f.startNode("", nil)
+				key := ""
+				if keyed {
+					key = f.issueKeys(other, "1")[0]
+				}
+				tt.change(entry, server)
+				send := func(n *Node) string {
+					resp, _ := f.do(n, "POST", "/orders", nil, toucancall.HeaderIdempotencyKey, key, toucancall.HeaderTimeout, "200")
+					return outcome(resp)
+				}
+				got := send(entry)
+				if late := "unknown deadline"; tt.name == "slot_past_the_deadline" && got == late {
+					got = tt.want // the entry timed out before the reply of the peer arrived
+				}
+				is.Equal(got, tt.want)
+				if keyed {
+					is.Equal(send(other), "not_run key_refused")
+				}
+				is.Equal(len(s.runs()), 0)
+			})
+		}
+	}
+}
+
+// withAdmission returns a change that replaces the admission control beside the server.
+func withAdmission(admit func(Admission, context.Context, toucancall.Call) (Slot, toucancall.Reason)) func(_, server *Node) {
+	return func(_, server *Node) { server.admission = scriptedAdmission{server.admission, admit} }
+}
