--- a/toucancall/header.go
+++ b/toucancall/header.go
@@ -31,6 +31,7 @@
 	HeaderRetriesLeft    = "Toucan-Retries-Left"
 	HeaderConfigRevision = "Toucan-Config-Revision"
 	HeaderNotRun         = "Toucan-Not-Run"
+	HeaderKeyed          = "Toucan-Keyed" // set if the outcome holds for all attempts with the idempotency key
 )
 
 // Bounds on metadata. A call with a value beyond its bound is refused, or the value
@@ -137,7 +138,7 @@
 func (c Call) EachHeader(now time.Time, set func(field, value string)) {
 	set(HeaderService, c.Service)
 	set(HeaderRequestID, c.RequestID)
-	set(HeaderTimeout, strconv.FormatInt(c.Remaining(now).Milliseconds(), 10))
+	set(HeaderTimeout, strconv.FormatInt(max(1, c.Remaining(now).Milliseconds()), 10)) // 0 is malformed
 	set(HeaderClass, c.Class)
 	set(HeaderRank, c.Rank.String())
 	set(HeaderLevel, strconv.Itoa(c.Level))
--- a/toucancaller/caller_test.go
+++ b/toucancaller/caller_test.go
@@ -103,6 +103,14 @@
 	respondNotForwarded = respondOutcome(toucancall.Unknown, toucancall.ReasonNotForwarded, 504)
 )
 
+// respondKeyed marks the outcome as one that holds for all attempts with the key.
+func respondKeyed(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(toucancall.HeaderKeyed, "true")
+		h(w, r)
+	}
+}
+
 // respondRaw writes text to the connection and closes it.
 func respondRaw(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
@@ -158,6 +166,8 @@
 		{"unknown_read_is_retried", 3, getParts, []http.HandlerFunc{respondUnknown}, connectionLost, 4},
 		{"refusal_after_unknown_read", 1, getParts, []http.HandlerFunc{respondUnknown, respondRefused}, Unknown{Reason: toucancall.ReasonOverload}, 2},
 		{"refusal_after_unknown_with_key", 1, issuedKeyOrder, []http.HandlerFunc{respondUnknown, respondRefused}, refusedOverload, 2},
+		{"refusal_after_unknown_with_caller_key", 1, newKeyOrder, []http.HandlerFunc{respondUnknown, respondRefused}, Unknown{Reason: toucancall.ReasonOverload}, 2},
+		{"keyed_refusal_after_unknown_with_caller_key", 1, newKeyOrder, []http.HandlerFunc{respondUnknown, respondKeyed(respondRefused)}, refusedOverload, 2},
 		{"malformed_after_unknown_with_key", 1, issuedKeyOrder, []http.HandlerFunc{respondUnknown, respondOutcome(toucancall.NotRun, toucancall.ReasonBadRequest, 503)},
 			Unknown{Reason: toucancall.ReasonBadRequest}, 2},
 		{"only_attempt_not_forwarded", 0, issuedKeyOrder, []http.HandlerFunc{respondNotForwarded}, refusedNotForwarded, 1},
@@ -293,3 +303,40 @@
 		t.Errorf("%d malformed requests were sent", len(n.receivedHeaders()))
 	}
 }
+
+// Guards against an answer or a refusal that ended early and counts as whole, at whatever
+// byte it ended.
+func TestCutAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\n"
+	for _, tt := range []struct{ name, method, answer string }{
+		{"length", "POST", head + "Content-Length: 5\r\n\r\nhello"},
+		{"chunked", "POST", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"},
+		{"trailer", "POST", head + "Trailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n"},
+		{"no_length", "POST", head + "Connection: close\r\n\r\nhello"},
+		{"after_informational", "POST", "HTTP/1.1 103 Early Hints\r\nToucan-Outcome: not_run\r\n\r\n" + head + "Content-Length: 5\r\n\r\nhello"},
+		{"head", "HEAD", head + "Content-Length: 5\r\n\r\n"},
+		{"no_content", "POST", "HTTP/1.1 204 No Content\r\nToucan-Outcome: answered\r\n\r\n"},
+		{"refusal", "POST", "HTTP/1.1 503 Service Unavailable\r\nToucan-Outcome: not_run\r\nToucan-Reason: overload\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var handlers []http.HandlerFunc
+			for n := range len(tt.answer) {
+				handlers = append(handlers, respondRaw(tt.answer[:n]))
+			}
+			node := startTestNode(nil, handlers...)
+			defer node.Close()
+			c := newTestClient(t, 0, node)
+			for n := range len(tt.answer) {
+				a, err := c.Do(t.Context(), Request{Service: "ordini", Method: tt.method, Path: "/orders"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				switch a.(type) {
+				case Failed, Unknown:
+				default:
+					t.Errorf("%d of %d bytes: got %T %+v", n, len(tt.answer), a, a)
+				}
+			}
+		})
+	}
+}
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -61,6 +62,20 @@
 	return refusalReply(toucancall.NotRun, reason, detail)
 }
 
+func (r *reply) outcome() (toucancall.Outcome, toucancall.Reason) {
+	if r.refusal == nil {
+		return toucancall.Answered, ""
+	}
+	return r.refusal.Outcome, r.refusal.Reason
+}
+
+// withdrawNotRun replaces the outcome "not run" by "unknown".
+func (r *reply) withdrawNotRun() {
+	if f := r.refusal; f != nil && f.Outcome == toucancall.NotRun {
+		r.refusal = &Refusal{Outcome: toucancall.Unknown, Reason: f.Reason, Detail: f.Detail}
+	}
+}
+
 // bufferAnswer reads an answer of up to maxBufferedAnswerBytes completely and
 // leaves a longer one to be streamed. An answer of unknown length is streamed
 // as well, unless bufferUnknownLength is set and it turns out to be short
@@ -169,6 +184,10 @@
 		return
 	}
 	rep.announceTrailer(h, rep.rest.resp.Trailer)
+	endsWithConn := rep.length < 0 && !in.r.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		setResetOnClose(in.r, true)
+	}
 	outcome, reason := n.streamAnswer(w, rep)
 	rep.rest.finish(rep.requestBody)
 	if rep.onEnd != nil {
@@ -177,9 +196,32 @@
 	if outcome != toucancall.Answered {
 		panic(http.ErrAbortHandler)
 	}
+	if endsWithConn {
+		setResetOnClose(in.r, false)
+	}
 	rep.copyTrailer(h, rep.rest.resp.Trailer)
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// setResetOnClose sets whether the connection of the request is reset when it is closed,
+// also if the process ends. An HTTP/1.0 caller takes an orderly close for the end of an
+// answer without a length.
+func setResetOnClose(r *http.Request, reset bool) {
+	linger := -1 // the default
+	if reset {
+		linger = 0
+	}
+	if c, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = c.SetLinger(linger) // fails only on a closed connection
+	}
+}
+
 // bodyUnread reports whether a part of the request body has not been received.
 func bodyUnread(in *inboundRequest) bool {
 	if in.r.Body == nil || in.r.Body == http.NoBody {
@@ -264,7 +306,8 @@
 func isNodeAnswerField(key string) bool {
 	switch key {
 	case toucancall.HeaderOutcome, toucancall.HeaderReason, toucancall.HeaderThreshold, toucancall.HeaderLoad,
-		toucancall.HeaderRetriesLeft, toucancall.HeaderConfigRevision, toucancall.HeaderNotRun:
+		toucancall.HeaderRetriesLeft, toucancall.HeaderConfigRevision, toucancall.HeaderNotRun, toucancall.HeaderParent,
+		toucancall.HeaderKeyed:
 		return true
 	}
 	return false
@@ -353,7 +396,7 @@
 	return func(status int, h http.Header) {
 		header := w.Header()
 		for key, values := range h {
-			if !toucancall.IsHopByHop(key, h["Connection"]) {
+			if !toucancall.IsHopByHop(key, h["Connection"]) && !isNodeAnswerField(key) {
 				header[key] = values
 			}
 		}
