toucanmesh, toucanbackend: record the departure of a server that the node does not know

HandleDeparture took a departure that the runner could not match as old news: it confirmed it and kept nothing. The runner matches none while the node knows no server: from its start until recoverState has read the store, and after a 421 from another server at the address. The same held for a start that the node had not heard of (a new id, or the same id with a later start time), whose late heartbeat then put it into use, and for a draining heartbeat that arrived out of order after a refused one.

Every departure is now recorded before it is confirmed, whichever server the node knows. The runner remembers the starts that left, under the lock under which it applies heartbeats, so that neither a resume from the store nor a late heartbeat can use one of them. The record left/<node> is a list that is written under a condition and merged on a conflict: a node that has not read it yet, or a late departure of an earlier server, cannot replace the departure of another start. A DELETE without a start time for an unknown server is refused, as nothing can be recorded for it; backend servers send it.

On the code before, the new tests fail:

TestDepartureBeforeServerIsKnownIsNotForgotten: 90 calls reached a backend server whose departure was acknowledged, want 0 TestDepartureOfUnheardStartHolds/i-b: 27 calls ...; /i-new: 27 calls ...

--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -55,6 +55,7 @@
 
 	mu       sync.Mutex
 	server   Server
+	departed departures
 	failures decayingShare
 	runs     map[string]*run
 	retained []*run // ended runs whose results hold memory, oldest first
@@ -104,14 +105,34 @@
 	return r.server
 }
 
-// Observe applies a heartbeat.
+// Observe applies a heartbeat. A server that has announced its departure counts as
+// draining, whatever its heartbeat says.
 func (r *Runner) Observe(h Heartbeat) Verdict {
-	return r.updateServer(func(s Server) (Server, Verdict) { return s.Observe(h, r.clock.Now()) })
+	return r.updateServer(func(s Server) (Server, Verdict) {
+		if r.departed.has(h.Instance, h.Born) {
+			h.State = Draining
+		}
+		return s.Observe(h, r.clock.Now())
+	})
 }
 
-// MarkLeft records that the server announced its departure.
+// MarkLeft records that a server announced its departure. It may be a server of which
+// no heartbeat has arrived yet.
 func (r *Runner) MarkLeft(instance string, born int64) Verdict {
-	return r.updateServer(func(s Server) (Server, Verdict) { return s.MarkLeft(instance, born) })
+	return r.updateServer(func(s Server) (Server, Verdict) {
+		if s.Instance == instance && born == 0 {
+			born = s.Born
+		}
+		r.departed = r.departed.with(instance, born)
+		return s.MarkLeft(instance, born)
+	})
+}
+
+// HasLeft reports whether a start of a server announced its departure.
+func (r *Runner) HasLeft(instance string, born int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.departed.has(instance, born)
 }
 
 // updateServer replaces the server by the result of f and acts on the change.
--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 
 const (
 	departurePrefix = "left/"
+	// maxDepartures bounds the departures in the record of a node.
+	maxDepartures = 8
 	// departureTTL is how long the store keeps a departure. It is longer than a
 	// backend server continues to run after it announced its departure.
 	departureTTL = 60 * time.Second
@@ -45,7 +48,6 @@
 	heartbeats        int
 	firstArrival      time.Time // arrival of the first heartbeat
 	lastHeartbeat     toucanbackend.Heartbeat
-	priorDeparture    departure // backend server that left before this node started
 	recordedDeparture departure // newest departure that the store or another node has recorded
 
 	// Last report of another node about the backend server, and the address of
@@ -54,8 +56,8 @@
 	lastReporter string
 }
 
-// departure identifies one start of a backend server that has left. Its JSON
-// form is the record in the store.
+// departure identifies one start of a backend server that has left. The record of a
+// node in the store is a JSON array of departures, oldest first.
 type departure struct {
 	Instance string `json:"instance"`
 	Born     int64  `json:"born"`
@@ -75,7 +77,7 @@
 			return fmt.Errorf("server %s of service %q at %s is not the one on this VM, %q at %s", h.Instance, h.Service, h.Address, s.Service, s.BackendAddress)
 		}
 	}
-	if !n.admitHeartbeat(&h) {
+	if !n.admitHeartbeat(h) {
 		return nil
 	}
 	return n.observeHeartbeat(h)
@@ -85,9 +87,8 @@
 // whether the server left before this node started, only a draining heartbeat
 // may be used, and the newest heartbeat is kept for resolveDeparture. This
 // becomes known from the store, from another node, or from a server that
-// continues to report that it is ready. A heartbeat of a server that has left
-// is changed to draining.
-func (n *Node) admitHeartbeat(h *toucanbackend.Heartbeat) bool {
+// continues to report that it is ready.
+func (n *Node) admitHeartbeat(h toucanbackend.Heartbeat) bool {
 	n.startup.mu.Lock()
 	defer n.startup.mu.Unlock()
 	now := n.clock.Now()
@@ -99,39 +100,45 @@
 		n.startup.departureResolved = true
 	}
 	if n.startup.lastHeartbeat.Born <= h.Born {
-		n.startup.lastHeartbeat = *h
-	}
-	if n.startup.priorDeparture == (departure{h.Instance, h.Born}) {
-		h.State = toucanbackend.Draining
+		n.startup.lastHeartbeat = h
 	}
 	return n.startup.departureResolved || h.State == toucanbackend.Draining
 }
 
 func (n *Node) observeHeartbeat(h toucanbackend.Heartbeat) error {
-	if n.runner.Observe(h) == toucanbackend.Late {
+	verdict := n.runner.Observe(h)
+	if verdict == toucanbackend.Late {
 		n.log.Info("late heartbeat", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence, "state", string(h.State))
+	}
+	if h.State != toucanbackend.Draining {
 		return nil
 	}
-	if h.State == toucanbackend.Draining {
-		return n.recordDeparture(h.Instance, h.Born)
+	if s := n.runner.Server(); verdict == toucanbackend.Late && s.Instance == h.Instance && s.Born == h.Born && !s.Left {
+		return nil // the same start reported later that it is ready
 	}
-	return nil
+	n.runner.MarkLeft(h.Instance, h.Born)
+	return n.recordDeparture(departure{h.Instance, h.Born})
 }
 
-// HandleDeparture handles the message of a backend server that it has left.
+// HandleDeparture handles the message of a backend server that it has left. The node
+// may not know the server: it may have just started, or heard of an earlier one only.
 func (n *Node) HandleDeparture(instance string, born int64) error {
+	if s := n.runner.Server(); born == 0 && s.Instance == instance {
+		born = s.Born
+	}
+	if born == 0 {
+		return fmt.Errorf("departure of server %s, which is not known, has no start time", instance)
+	}
 	if n.runner.MarkLeft(instance, born) == toucanbackend.Late {
 		n.log.Info("departure of another server", "instance", instance, "born", born)
-		return nil
 	}
-	return n.recordDeparture(instance, n.runner.Server().Born)
+	return n.recordDeparture(departure{instance, born})
 }
 
 // recordDeparture records a departure in the store or, if that fails, at
 // another node. It returns an error if both fail; the departure must not be
 // acknowledged then.
-func (n *Node) recordDeparture(instance string, born int64) error {
-	d := departure{Instance: instance, Born: born}
+func (n *Node) recordDeparture(d departure) error {
 	n.startup.mu.Lock()
 	recorded := n.startup.recordedDeparture == d
 	n.startup.mu.Unlock()
@@ -142,7 +149,7 @@
 	defer cancel()
 	err := n.writeDeparture(ctx, d)
 	announced := err != nil && n.announceAndWait()
-	n.log.Info("departure", "instance", instance, "born", born, "stored", err == nil, "heard", announced, "err", err)
+	n.log.Info("departure", "instance", d.Instance, "born", d.Born, "stored", err == nil, "heard", announced, "err", err)
 	if err != nil && !announced {
 		return fmt.Errorf("record the departure: %w", err)
 	}
@@ -178,17 +185,43 @@
 	}
 }
 
+// writeDeparture adds a departure to the record of this node in the store. The record
+// may hold departures that this node has not read yet.
 func (n *Node) writeDeparture(ctx context.Context, d departure) error {
-	value, err := json.Marshal(d)
-	if err != nil {
-		return err
-	}
 	lease, err := n.store.Grant(ctx, departureTTL)
 	if err != nil {
 		return err
 	}
-	_, err = n.store.Put(ctx, departurePrefix+n.settings.Load().Node, value, lease, toucanstore.AnyRevision)
-	return err
+	record, revision := []departure{d}, uint64(0)
+	for {
+		value, err := json.Marshal(record)
+		if err != nil {
+			return err
+		}
+		_, err = n.store.Put(ctx, departurePrefix+n.settings.Load().Node, value, lease, revision)
+		var conflict *toucanstore.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		stored := n.decodeDepartures(conflict.Current)
+		if slices.Contains(stored, d) {
+			return nil
+		}
+		record, revision = append(stored, d), conflict.Current.Revision
+		record = record[max(0, len(record)-maxDepartures):]
+	}
+}
+
+// decodeDepartures decodes a record of departures.
+func (n *Node) decodeDepartures(i toucanstore.Item) (list []departure) {
+	if len(i.Value) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(i.Value, &list); err != nil {
+		n.log.Error("unreadable departure", "key", i.Key, "err", err)
+		return nil
+	}
+	return slices.DeleteFunc(list, func(d departure) bool { return d.Instance == "" })
 }
 
 // recoverState writes the member of this node for the first time, under the condition
@@ -205,7 +238,7 @@
 		switch {
 		case err == nil:
 			n.awaitNeighbours(ctx)
-			n.resolveDeparture(departure{}, "store")
+			n.resolveDeparture("store")
 			return
 		case errors.As(err, &conflict):
 			n.applyStoredState(ctx, conflict)
@@ -235,7 +268,7 @@
 	}
 }
 
-// applyStoredState resolves the departure that the store has, or resumes the backend
+// applyStoredState resolves the departures that the store has, and resumes the backend
 // server that this node served before it restarted, without waiting for the next
 // heartbeat: a departure of that server would have been recorded, and a server that
 // has replaced it refuses the calls for it.
@@ -244,16 +277,13 @@
 	n.member.revision = stored.Current.Revision
 	n.member.mu.Unlock()
 	for _, i := range stored.Others {
-		var d departure
-		if err := json.Unmarshal(i.Value, &d); err != nil {
-			n.log.Error("unreadable departure", "key", i.Key, "err", err)
-			continue
+		if departed := n.decodeDepartures(i); len(departed) > 0 {
+			n.resolveDeparture("store", departed...)
+			return
 		}
-		n.resolveDeparture(d, "store")
-		return
 	}
 	n.awaitNeighbours(ctx)
-	n.resolveDeparture(departure{}, "store")
+	n.resolveDeparture("store")
 	if stored.Current.Revision == 0 {
 		return
 	}
@@ -268,9 +298,9 @@
 func (n *Node) handlePeerReport(addr string, m toucanpeer.Member) {
 	switch {
 	case m.Left:
-		n.resolveDeparture(departure{m.Instance, m.Born}, "peer")
+		n.resolveDeparture("peer", departure{m.Instance, m.Born})
 	case m.Instance != "" && n.confirmedByPeer(addr, departure{m.Instance, m.Born}):
-		n.resolveDeparture(departure{}, "peer")
+		n.resolveDeparture("peer")
 		n.resumeServer(m)
 	}
 }
@@ -283,17 +313,15 @@
 	defer n.startup.mu.Unlock()
 	same := n.startup.lastReport == d && n.startup.lastReporter != addr
 	n.startup.lastReport, n.startup.lastReporter = d, addr
-	return same && n.startup.priorDeparture.Instance != d.Instance
+	return same && !n.runner.HasLeft(d.Instance, d.Born)
 }
 
 // resumeServer uses a backend server without waiting for its next heartbeat,
 // unless the server has left or the node already knows one.
 func (n *Node) resumeServer(m toucanpeer.Member) {
 	s := n.settings.Load()
-	n.startup.mu.Lock()
-	left := n.startup.priorDeparture == departure{m.Instance, m.Born}
-	n.startup.mu.Unlock()
-	if m.Instance == "" || m.Left || left || m.Service != s.Service || n.runner.Server().Instance != "" {
+	left := m.Left || n.runner.HasLeft(m.Instance, m.Born)
+	if m.Instance == "" || left || m.Service != s.Service || n.runner.Server().Instance != "" {
 		return
 	}
 	n.log.Info("resume", "instance", m.Instance, "born", m.Born)
@@ -309,25 +337,21 @@
 }
 
 // resolveDeparture ends the wait for a departure before this start and handles
-// the heartbeat that was kept meanwhile. departed is zero if no server has
-// left.
-func (n *Node) resolveDeparture(departed departure, source string) {
+// the heartbeat that was kept meanwhile. departed are the servers that have left.
+func (n *Node) resolveDeparture(source string, departed ...departure) {
+	for _, d := range departed {
+		n.runner.MarkLeft(d.Instance, d.Born)
+	}
 	n.startup.mu.Lock()
 	wasResolved := n.startup.departureResolved
 	n.startup.departureResolved = true
-	if departed.Instance != "" {
-		n.startup.priorDeparture = departed
-	}
 	pending, count := n.startup.lastHeartbeat, n.startup.heartbeats
 	n.startup.mu.Unlock()
-	if departed.Instance != "" {
-		n.runner.MarkLeft(departed.Instance, departed.Born)
-	}
 	if wasResolved {
 		return
 	}
-	n.log.Info("departures known", "source", source, "departed", departed.Instance)
-	if count > 0 && n.admitHeartbeat(&pending) {
+	n.log.Info("departures known", "source", source, "departed", fmt.Sprint(departed))
+	if count > 0 && n.admitHeartbeat(pending) {
 		if err := n.observeHeartbeat(pending); err != nil {
 			n.log.Warn("held heartbeat failed", "err", err)
 		}
--- /dev/null
+++ b/toucanmesh/departure_test.go
@@ -0,0 +1,99 @@
+package toucanmesh_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/platform/platformtest"
+)
+
+// awaitDeparture sends the departure of the backend server until it is acknowledged.
+func (m *testNode) awaitDeparture() {
+	m.deployment.t.Helper()
+	awaitCondition(m.deployment.t, "departure is acknowledged", func() bool {
+		status, err := m.backend.SendDeparture(m.settings.ControlAddress)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// expectNoCalls fails the test if the backend server of home gets a call within d.
+func expectNoCalls(t *testing.T, entry, home *testNode, d time.Duration) {
+	t.Helper()
+	before := home.backend.RequestCount()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		entry.send("GET", "/read/1", fmt.Sprintf("probe-%d", probeCount.Add(1)))
+	}
+	if got := home.backend.RequestCount() - before; got > 0 {
+		t.Errorf("%d calls reached a backend server whose departure was acknowledged, want 0", got)
+	}
+}
+
+// A node that has just started must not forget a departure that it acknowledged before it
+// knew its backend server.
+func TestDepartureBeforeServerIsKnownIsNotForgotten(t *testing.T) {
+	s := newDeployment(t, safeRoute())
+	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+	entry.awaitServed("/read/")
+	home.kill()
+	s.store.SetFault(platformtest.Unresponsive)
+	time.AfterFunc(200*time.Millisecond, func() { s.store.SetFault(platformtest.Healthy) })
+	home.run()
+	home.awaitDeparture()
+	expectNoCalls(t, entry, home, 1500*time.Millisecond)
+	home.kill()
+	home.run()
+	expectNoCalls(t, entry, home, time.Second)
+}
+
+// The departure of a start that the node has not heard of must hold when a heartbeat of
+// that start arrives late.
+func TestDepartureOfUnheardStartHolds(t *testing.T) {
+	for _, instance := range []string{"i-b", "i-new"} {
+		t.Run(instance, func(t *testing.T) {
+			s := newDeployment(t, safeRoute())
+			entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+			entry.awaitServed("/read/")
+			home.backend.Restart(instance)
+			home.awaitDeparture()
+			home.sendHeartbeat("ready", http.StatusOK)
+			expectNoCalls(t, entry, home, 300*time.Millisecond)
+			home.kill()
+			home.run()
+			home.sendHeartbeat("ready", http.StatusOK)
+			expectNoCalls(t, entry, home, time.Second)
+		})
+	}
+}
+
+// The record of a departure must not replace that of another start.
+func TestLateDepartureKeepsNewerOne(t *testing.T) {
+	is := is.New(t)
+	s := newDeployment(t, safeRoute())
+	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+	entry.awaitServed("/read/")
+	instance, born := home.backend.Instance, home.backend.Born
+	home.backend.Restart("i-new")
+	home.sendHeartbeat("ready", http.StatusOK)
+	home.awaitDeparture()
+	newInstance, newBorn := home.backend.Instance, home.backend.Born
+	home.backend.Instance, home.backend.Born = instance, born
+	home.awaitDeparture()
+	home.backend.Instance, home.backend.Born = newInstance, newBorn
+	home.kill()
+	entry.kill()
+	s.store.Remove("members/b")
+	entry.run()
+	home.run()
+	home.sendHeartbeat("ready", http.StatusOK)
+	home.sendHeartbeat("ready", http.StatusOK)
+	expectNoCalls(t, entry, home, time.Second)
+	// A new start of the server is used.
+	home.backend.Restart("i-new")
+	home.sendHeartbeat("ready", http.StatusOK)
+	entry.awaitServed("/read/")
+	is.Equal(home.backend.LastRequest().Header.Get("X-Target-Instance"), "i-new")
+}
