toucanmesh: acknowledge a departure only once the store has it

While the store was down, a node confirmed that its backend server leaves as soon as one other node had answered. When the processes of all nodes were killed then, the departure was forgotten: the node resumed the server from its member in the store, and callers' requests reached the server for as long as it served on.

Only the store outlives all processes, and it cannot show that there was a departure which it has not taken: its contents are the same as without one. A node could then use no server after a restart before it has proof of a heartbeat sent since, also in the common case without an outage; after a loss of all processes that is a second or more without any server. So the acknowledgement now rests on the record in the store alone, and a resume from the store is sound.

On the code before, TestDepartureInStoreOutageOutlivesAllNodes fails:

busy: 89 calls reached a backend server whose departure was acknowledged, want 0 unresponsive: 85, busy_for_a_second: 86, unresponsive_for_a_second: 88

and TestDepartureIsAcknowledgedBySlowStore, where no other node was there to confirm:

condition not met within 5s: departure is acknowledged

TestDepartureIsRecordedThroughAnotherNode passes on both; it guards the new way.

--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -73,6 +73,8 @@
 
 func (n *scriptedNode) UpdateMembers(toucanpeer.MemberUpdate) {}
 
+func (n *scriptedNode) RecordDeparture(context.Context, toucanpeer.Departure) bool { return false }
+
 func (n *scriptedNode) Document() toucanpeer.Document { return toucanpeer.Document{} }
 
 // setScript replaces the script and starts it anew.
--- a/toucanfleet/links.go
+++ b/toucanfleet/links.go
@@ -19,24 +19,50 @@
 	probeScaleLinks      = 60
 	// tickInterval is the interval between checks of all links.
 	tickInterval = 50 * time.Millisecond
+	// departureRecorders is the number of nodes that are asked at a time to record a
+	// departure. One of them may have just lost the store.
+	departureRecorders = 2
 )
 
-// Announce sends the state of this node to all connected nodes. It returns true
-// as soon as one of them has answered, and false if none answers before ctx ends.
-func (f *Fleet) Announce(ctx context.Context) bool {
-	links := f.connectedLinks(false)
-	delivered := make(chan bool, len(links))
+// Announce sends the state of this node to all connected nodes and waits until they have
+// answered or ctx ends.
+func (f *Fleet) Announce(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range f.connectedLinks(false) {
+		wg.Go(func() { l.Announce(ctx) })
+	}
+	wg.Wait()
+}
+
+// RecordDeparture asks some connected nodes that reach the store to record a departure
+// there. It returns true as soon as one has done so, and false if none does before ctx
+// ends.
+func (f *Fleet) RecordDeparture(ctx context.Context, d toucanpeer.Departure) bool {
+	links := f.linksToStore(departureRecorders)
+	recorded := make(chan bool, len(links))
 	for _, l := range links {
-		go func() { delivered <- l.Announce(ctx) }()
+		go func() { recorded <- l.RecordDeparture(ctx, d) }()
 	}
 	for range links {
-		if <-delivered {
+		if <-recorded {
 			return true
 		}
 	}
 	return false
 }
 
+// linksToStore returns at most count links to connected nodes that reach the store.
+func (f *Fleet) linksToStore(count int) (links []*toucanpeer.Link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if n.link != nil && n.connected && n.report.Store && len(links) < count {
+			links = append(links, n.link)
+		}
+	}
+	return links
+}
+
 // PushMembers sends a change of the members to the connected nodes of this data
 // centre and waits until they have answered or ctx ends.
 func (f *Fleet) PushMembers(ctx context.Context, u toucanpeer.MemberUpdate) {
--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -97,3 +97,87 @@
 	entry.awaitServed("/read/")
 	is.Equal(home.backend.LastRequest().Header.Get("X-Target-Instance"), "i-new")
 }
+
+// A departure that was acknowledged in an outage of the store must outlive the processes of
+// all nodes.
+func TestDepartureInStoreOutageOutlivesAllNodes(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		fault   platformtest.Fault
+		returns bool // the store returns while the server still announces its departure
+	}{
+		{"busy", platformtest.Busy, false},
+		{"unresponsive", platformtest.Unresponsive, false},
+		{"busy_for_a_second", platformtest.Busy, true},
+		{"unresponsive_for_a_second", platformtest.Unresponsive, true},
+		{"lossy_for_a_second", platformtest.Lossy, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newDeployment(t, safeRoute())
+			entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+			entry.awaitServed("/read/")
+			s.store.SetFault(tt.fault)
+			if tt.returns {
+				time.AfterFunc(time.Second, func() { s.store.SetFault(platformtest.Healthy) })
+			}
+			acknowledged := false
+			for end := time.Now().Add(ackTime); !acknowledged && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				status, err := home.backend.SendDeparture(home.settings.ControlAddress)
+				is.NoErr(err)
+				acknowledged = status == http.StatusOK
+			}
+			entry.kill()
+			home.kill()
+			s.store.SetFault(platformtest.Healthy)
+			entry.run()
+			home.run()
+			if acknowledged {
+				expectNoCalls(t, entry, home, time.Second)
+			}
+			is.Equal(acknowledged, tt.returns)
+		})
+	}
+}
+
+// ackTime is the time within which the platform expects the acknowledgement of a departure.
+const ackTime = 4 * time.Second
+
+// A node that the store turns away must record a departure through another node, so that it
+// is acknowledged in time.
+func TestDepartureIsRecordedThroughAnotherNode(t *testing.T) {
+	is := is.New(t)
+	s := newDeployment(t, safeRoute())
+	entry, home := s.startNode("a", "stock"), s.newNode("b", "orders")
+	proxy := platformtest.NewProxy(t, s.store.Address)
+	home.settings.StoreAddress = proxy.Address
+	home.run()
+	home.sendHeartbeat("ready", http.StatusOK)
+	entry.awaitServed("/read/")
+	proxy.SetBlocked(true, true)
+	began := time.Now()
+	home.awaitDeparture()
+	is.True(time.Since(began) < ackTime)
+	entry.kill()
+	home.kill()
+	proxy.SetBlocked(false, false)
+	entry.run()
+	home.run()
+	expectNoCalls(t, entry, home, time.Second)
+}
+
+// A store that takes long for each call must not keep a departure from being acknowledged.
+func TestDepartureIsAcknowledgedBySlowStore(t *testing.T) {
+	is := is.New(t)
+	s := newDeployment(t, safeRoute())
+	home := s.newNode("b", "orders")
+	proxy := platformtest.NewProxy(t, s.store.Address)
+	home.settings.StoreAddress = proxy.Address
+	home.run()
+	home.sendHeartbeat("ready", http.StatusOK)
+	home.awaitServed("/read/")
+	proxy.SetDelay(200 * time.Millisecond) // each way
+	began := time.Now()
+	home.awaitDeparture()
+	is.True(time.Since(began) < ackTime)
+}
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -63,6 +63,20 @@
 // store.
 func (h *peerHandler) UpdateMembers(u toucanpeer.MemberUpdate) { (*Node)(h).updateMembers(u) }
 
+// RecordDeparture records the departure of the backend server of another node in the
+// store.
+func (h *peerHandler) RecordDeparture(ctx context.Context, d toucanpeer.Departure) bool {
+	n := (*Node)(h)
+	if n.store.isUnreachable() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, departureWriteTimeout)
+	defer cancel()
+	err := n.writeDeparture(ctx, d.Node, departure{d.Instance, d.Born})
+	n.recordStoreHealth(err)
+	return err == nil
+}
+
 // newPing returns a ping that describes this node.
 func (n *Node) newPing() toucanpeer.Ping {
 	self := n.selfMember()
--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -32,6 +32,8 @@
 	// listed again within 2 s of the return of the store.
 	startRetryDelay = 300 * time.Millisecond
 	renewRetryDelay = 700 * time.Millisecond
+	// announceTimeout limits a message to other nodes about this node or the members.
+	announceTimeout = 500 * time.Millisecond
 	// maxMemberRequests is the number of nodes that a node asks for all members
 	// as long as it has not read them from the store.
 	maxMemberRequests = 5
@@ -90,14 +92,12 @@
 
 // announceSelf sends the state of this node to the connected nodes, in the
 // background.
-func (n *Node) announceSelf() { go n.announceAndWait() }
-
-// announceAndWait sends the state of this node to the connected nodes and reports
-// whether one of them has answered.
-func (n *Node) announceAndWait() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	return n.fleet.Announce(ctx)
+func (n *Node) announceSelf() {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+		defer cancel()
+		n.fleet.Announce(ctx)
+	}()
 }
 
 // register keeps the member in the store until ctx ends.
@@ -276,7 +276,7 @@
 
 // pushMembers sends a change of the members to the nodes of this data centre.
 func (n *Node) pushMembers(u toucanpeer.MemberUpdate) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	n.fleet.PushMembers(ctx, u)
 }
@@ -289,7 +289,7 @@
 	}
 	u := toucanpeer.MemberUpdate{AsOf: n.member.asOf.Load(), All: true, Members: n.fleet.Listed()}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 		defer cancel()
 		link.PushMembers(ctx, u)
 	}()
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -84,16 +84,17 @@
 	started      time.Time
 	settings     atomic.Pointer[Settings]
 
-	runner  *toucanbackend.Runner
-	fleet   *toucanfleet.Fleet
-	entry   *toucanentry.Entry
-	server  *toucanserve.Server
-	bodies  *toucanmemory.Budget
-	config  config
-	member  registration
-	startup startupState
-	metrics *meter
-	dropped func() uint64
+	runner    *toucanbackend.Runner
+	fleet     *toucanfleet.Fleet
+	entry     *toucanentry.Entry
+	server    *toucanserve.Server
+	bodies    *toucanmemory.Budget
+	config    config
+	member    registration
+	startup   startupState
+	recording recording
+	metrics   *meter
+	dropped   func() uint64
 
 	stopping  atomic.Bool // callers are drained and the readiness check fails
 	leaving   atomic.Bool // calls of other nodes are refused
@@ -122,6 +123,7 @@
 		CountServing: func(service string) int { return n.fleet.CountServing(service) },
 	})
 	n.member.wakeup, n.member.oddEntries = make(chan struct{}, 1), make(map[string]uint64)
+	n.recording.started = make(map[departure]chan struct{})
 	n.fleet = toucanfleet.New(toucanfleet.Options{
 		Clock: o.Clock, Log: o.Log, Self: n.selfMember(), Hello: n.newHello, Version: n.configVersion,
 		Ping:            n.newPing,
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -152,6 +152,19 @@
 	}
 }
 
+// RecordDeparture asks the other node to record a departure in the store. It reports
+// whether the other node answers before ctx ends that the store has it.
+func (l *Link) RecordDeparture(ctx context.Context, d Departure) bool {
+	l.mu.Lock()
+	client := l.client
+	l.mu.Unlock()
+	if client == nil {
+		return false
+	}
+	var recorded bool // not read after an error: a late reply may be decoded after ctx has ended
+	return call(ctx, client, methodRecordDeparture, d, &recorded) == nil && recorded
+}
+
 // redial starts a connection attempt unless the link is connected or closed, or
 // its redial delay has not passed. It returns a channel that is closed when the
 // attempt in progress ends, or nil if there is none.
--- a/toucanpeer/link_test.go
+++ b/toucanpeer/link_test.go
@@ -34,6 +34,9 @@
 func (h *fakeHandler) Ping(string, Ping) Pong     { return Pong{} }
 func (h *fakeHandler) UpdateMembers(MemberUpdate) {}
 func (h *fakeHandler) Document() Document         { return Document{} }
+func (h *fakeHandler) RecordDeparture(context.Context, Departure) bool {
+	return false
+}
 
 // noopObserver ignores the events of a link.
 type noopObserver struct{}
--- a/toucanpeer/server.go
+++ b/toucanpeer/server.go
@@ -26,6 +26,9 @@
 	Ping(address string, p Ping) Pong
 	// UpdateMembers applies a change of the listed members.
 	UpdateMembers(u MemberUpdate)
+	// RecordDeparture records a departure in the store and reports whether the store
+	// has it.
+	RecordDeparture(ctx context.Context, d Departure) bool
 	// Document returns the configuration document in force.
 	Document() Document
 }
@@ -79,14 +82,15 @@
 }
 
 const (
-	serviceName    = "Node"
-	methodRun      = serviceName + ".Run"
-	methodCancel   = serviceName + ".Cancel"
-	methodAwait    = serviceName + ".Await"
-	methodHello    = serviceName + ".Hello"
-	methodPing     = serviceName + ".Ping"
-	methodMembers  = serviceName + ".Members"
-	methodDocument = serviceName + ".Document"
+	serviceName           = "Node"
+	methodRun             = serviceName + ".Run"
+	methodCancel          = serviceName + ".Cancel"
+	methodAwait           = serviceName + ".Await"
+	methodHello           = serviceName + ".Hello"
+	methodPing            = serviceName + ".Ping"
+	methodMembers         = serviceName + ".Members"
+	methodRecordDeparture = serviceName + ".RecordDeparture"
+	methodDocument        = serviceName + ".Document"
 )
 
 // session is the net/rpc receiver of one connection.
@@ -135,6 +139,11 @@
 	return nil
 }
 
+func (s *session) RecordDeparture(d Departure, recorded *bool) error {
+	*recorded = s.handler.RecordDeparture(s.ctx, d)
+	return nil
+}
+
 var errNoHello = errors.New("the connection did not begin with a hello")
 
 func (s *session) Document(_ bool, d *Document) error {
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -103,6 +103,13 @@
 	Removed []string // names of nodes that are no longer listed
 }
 
+// Departure tells that a backend server has left, from the node beside it.
+type Departure struct {
+	Node     string // name of the node beside the backend server
+	Instance string
+	Born     int64
+}
+
 // Pong is the reply to a Ping.
 type Pong struct {
 	Self   *Member // nil if unchanged since it was last sent on the connection
