toucanfleet: what the store lists of a node is no word of a peer

When all processes are killed right after a departure was acknowledged, the node can take its departed server into use again, though the store has the departure.

A restarted node resumes its server when two other nodes report the same one, so that it need not wait for the store. The others reported whatever member they knew. After a restart of all processes that is the entry that they have just read from the store, in which the server still serves if the node was killed before it wrote its new state: two readings of one outdated entry counted as two witnesses, and could precede the node's own read of the departure. In the log of the new test, five of the six nodes beside it too resumed by such reports before their own read, with a healthy store.

A fleet now remembers whether a node itself sent its record, and LastKnown returns only such a record, or one that says that the server has left.

TestListedMemberIsNoEvidenceOfItsServer failed before:

163 calls reached a backend server whose departure was acknowledged, want 0

It passes in three of three runs now.

--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -56,6 +56,7 @@
 // node is the state that this node keeps of one member.
 type node struct {
 	member       toucanpeer.Member
+	told         bool              // the node itself sent this member record
 	lastDeparted toucanpeer.Member // last record of a backend server that left for good (Left is set)
 	link         *toucanpeer.Link  // nil for this node itself
 	connected    bool
@@ -105,7 +106,7 @@
 	}
 	n := &node{connected: true, listed: true}
 	f.nodes[o.Self.Address] = n
-	f.setMember(n, o.Self)
+	f.setTold(n, o.Self)
 	return f
 }
 
@@ -114,7 +115,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.self = m
-	f.setMember(f.nodes[m.Address], m)
+	f.setTold(f.nodes[m.Address], m)
 }
 
 // SetListed replaces the set of listed members by the members in the store.
@@ -202,7 +203,7 @@
 	if n == nil {
 		n = f.addNode(m)
 	}
-	f.setMember(n, m)
+	f.setTold(n, m)
 	n.lastSeen = f.clock.Now()
 }
 
@@ -245,7 +246,8 @@
 // LastKnown returns the record of the node at a peer address, for a node that has
 // restarted and lost its own state. If the backend server left and no new start
 // of it is known, LastKnown returns the record of the departure. It returns the
-// zero Member for an unknown address.
+// zero Member for an unknown address and if the node has not sent its record itself:
+// the store may list it as it was before its backend server left.
 func (f *Fleet) LastKnown(address string) toucanpeer.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,6 +257,8 @@
 		return toucanpeer.Member{}
 	case n.lastDeparted.Left && (n.member.Instance == "" || n.member.Instance == n.lastDeparted.Instance && n.member.Born == n.lastDeparted.Born):
 		return n.lastDeparted
+	case !n.told:
+		return toucanpeer.Member{}
 	}
 	return n.member
 }
@@ -317,11 +321,19 @@
 	return n
 }
 
+// setTold replaces the member record of a node by the one that it sent itself. f.mu must
+// be held.
+func (f *Fleet) setTold(n *node, m toucanpeer.Member) {
+	f.setMember(n, m)
+	n.told = true
+}
+
 // setMember replaces the member record of a node. f.mu must be held.
 func (f *Fleet) setMember(n *node, m toucanpeer.Member) {
 	if n.member == m {
 		return
 	}
+	n.told = false
 	if n.member.Instance != m.Instance || n.member.Born != m.Born {
 		n.stats = memberStats{}
 	}
--- a/toucanfleet/fleet_test.go
+++ b/toucanfleet/fleet_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"toucanhaven/toucanpeer"
 )
 
 // The rate of the probes that a node sends is bounded for any number of nodes.
@@ -74,3 +76,24 @@
 		}
 	}
 }
+
+// A node that has restarted may use its backend server again on the word of others only if
+// they heard of the server from the node itself.
+func TestLastKnownIsNotFromTheStore(t *testing.T) {
+	is := is.New(t)
+	f, _ := newFleet("aa")
+	m := toucanpeer.Member{Node: "b", Address: "127.0.0.1:9", DataCentre: "a", Service: "s", Instance: "i-1", Born: 1, Serving: true}
+	f.PutListed(m)
+	is.Equal(f.LastKnown(m.Address), toucanpeer.Member{})
+	f.PutConnected(m)
+	is.Equal(f.LastKnown(m.Address), m)
+	f.PutListed(m)
+	is.Equal(f.LastKnown(m.Address), m)
+	newer := m
+	newer.Born = 2
+	f.PutListed(newer)
+	is.Equal(f.LastKnown(m.Address), toucanpeer.Member{})
+	newer.Left = true
+	f.PutListed(newer)
+	is.Equal(f.LastKnown(m.Address), newer) // that a server has left is never out of date
+}
--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,3 +182,36 @@
 	home.awaitDeparture()
 	is.True(time.Since(began) < ackTime)
 }
+
+// The entry of a restarted node in the store, which other nodes have read, must not put its
+// departed backend server into use while the node itself cannot read the store.
+func TestListedMemberIsNoEvidenceOfItsServer(t *testing.T) {
+	is := is.New(t)
+	s := newDeployment(t, safeRoute())
+	var others []*testNode
+	for i := range 6 {
+		others = append(others, s.startNode(fmt.Sprintf("n%d", i), "stock"))
+	}
+	entry, home := others[0], s.startNode("b", "orders")
+	entry.awaitServed("/read/")
+	stale, listed := s.store.Item("members/b")
+	is.True(listed)
+	home.awaitDeparture()
+	for _, m := range append(others, home) {
+		m.kill()
+	}
+	s.store.Write("members/b", stale.Value) // all were killed before the new state of the node was written
+	for _, m := range others {
+		m.run()
+	}
+	for _, m := range others {
+		awaitCondition(t, "the members are known", func() bool {
+			return strings.Count(s.logs.String(), fmt.Sprintf(`event="member added" at=%s node=b `, m.settings.Node)) == 2
+		})
+	}
+	proxy := platformtest.NewProxy(t, s.store.Address)
+	proxy.SetBlocked(true, true)
+	home.settings.StoreAddress = proxy.Address
+	home.run()
+	expectNoCalls(t, entry, home, 2*time.Second)
+}
