toucanmesh: read the departures also after heartbeats have put a server into use

A node that starts while the store is down uses its server after two heartbeats in a row. Both may be late ("a ping may arrive seconds late") and the server may have left before. recoverState gave up at the first failed call after that, and the member was written without a look at the departures, so the server got calls for as long as it served on, also long after the return of the store.

recoverState now goes on until the store answers; the departure that it reads then takes the server out of use. It calls the store as often as the writer of the member did.

--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -264,7 +264,8 @@
 // recoverState writes the member of this node for the first time, under the condition
 // that the store has neither a departure of its backend server nor a member of an
 // earlier start of this node. If the condition fails, the store returns both. It
-// retries until the store answers or the departure is resolved by other means.
+// retries until the store answers, also if the departure is resolved by other means
+// meanwhile: late heartbeats may have put a server into use that has left.
 func (n *Node) recoverState(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := n.createMember(ctx)
@@ -280,11 +281,13 @@
 		case errors.As(err, &conflict):
 			n.applyStoredState(ctx, conflict)
 			return
-		case n.isDepartureResolved():
-			return
 		}
 		n.log.Warn("departures not read", "err", err)
-		sleep(ctx, startRetryDelay)
+		if n.isDepartureResolved() {
+			sleep(ctx, renewRetryDelay)
+		} else {
+			sleep(ctx, startRetryDelay)
+		}
 	}
 }
 
--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -215,3 +215,26 @@
 	home.run()
 	expectNoCalls(t, entry, home, 2*time.Second)
 }
+
+// A node that took its server into use during an outage of the store must read the record of
+// its departure when the store is back.
+func TestDepartureIsReadAfterStoreOutage(t *testing.T) {
+	s := newDeployment(t, safeRoute())
+	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+	entry.awaitServed("/read/")
+	home.awaitDeparture()
+	entry.kill()
+	home.kill()
+	s.store.Remove("members/b") // its lease ends before that of the departure
+	entry.run()
+	awaitCondition(t, "the configuration is known", entry.Ready)
+	s.store.SetFault(platformtest.Busy)
+	home.run()
+	home.sendHeartbeat("ready", http.StatusOK) // late, like the next one
+	time.Sleep(home.settings.Heartbeat.Duration)
+	home.sendHeartbeat("ready", http.StatusOK)
+	time.Sleep(time.Second)
+	s.store.SetFault(platformtest.Healthy)
+	time.Sleep(2 * time.Second) // the time within which a member is listed after an outage
+	expectNoCalls(t, entry, home, time.Second)
+}
