--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,21 +16,24 @@
 
 const (
 	departurePrefix = "left/"
+	// maxDepartures bounds the departures in the record of a node.
+	maxDepartures = 8
 	// departureTTL is how long the store keeps a departure. It is longer than a
 	// backend server continues to run after it announced its departure.
 	departureTTL = 60 * time.Second
-	// recordTimeout limits the write of a departure to the store, which
-	// precedes its acknowledgement, and announcements to other nodes. A server
-	// that has waited a second for the acknowledgement calls another node.
-	recordTimeout = 500 * time.Millisecond
+	// departureAckTimeout limits the wait for the record of a departure, which
+	// precedes its acknowledgement. A server that has waited a second for the
+	// acknowledgement calls another node.
+	departureAckTimeout = 800 * time.Millisecond
+	// departureWriteTimeout limits one attempt to record a departure.
+	departureWriteTimeout = 2 * time.Second
 	// peerReportWait is the longest time in which other nodes may still report a
-	// departure when the store has none: another node remembers a departure that the
-	// store did not accept. peerReportPoll is the interval between looks whether all
+	// departure when the store has none: another node remembers a departure that was
+	// announced but not recorded. peerReportPoll is the interval between looks whether all
 	// nodes of the data centre have had the opportunity.
 	peerReportWait = 300 * time.Millisecond
 	peerReportPoll = 5 * time.Millisecond
-	// departureRetryDelay is the delay after a failed attempt to write a departure that
-	// only other nodes have recorded.
+	// departureRetryDelay is the delay after a failed attempt to record a departure.
 	departureRetryDelay = 700 * time.Millisecond
 	// freshHeartbeatShare is a share of the heartbeat interval. A further
 	// heartbeat that arrives at least this long after the first one was sent
@@ -45,8 +49,6 @@
 	heartbeats        int
 	firstArrival      time.Time // arrival of the first heartbeat
 	lastHeartbeat     toucanbackend.Heartbeat
-	priorDeparture    departure // backend server that left before this node started
-	recordedDeparture departure // newest departure that the store or another node has recorded
 
 	// Last report of another node about the backend server, and the address of
 	// that node.
@@ -54,8 +56,14 @@
 	lastReporter string
 }
 
-// departure identifies one start of a backend server that has left. Its JSON
-// form is the record in the store.
+// recording holds the departures that this node has started to record.
+type recording struct {
+	mu      sync.Mutex
+	started map[departure]chan struct{} // closed when the store has the departure
+}
+
+// departure identifies one start of a backend server that has left. The record of a
+// node in the store is a JSON array of departures, oldest first.
 type departure struct {
 	Instance string `json:"instance"`
 	Born     int64  `json:"born"`
@@ -75,7 +83,7 @@
 			return fmt.Errorf("server %s of service %q at %s is not the one on this VM, %q at %s", h.Instance, h.Service, h.Address, s.Service, s.BackendAddress)
 		}
 	}
-	if !n.admitHeartbeat(&h) {
+	if !n.admitHeartbeat(h) {
 		return nil
 	}
 	return n.observeHeartbeat(h)
@@ -85,9 +93,8 @@
 // whether the server left before this node started, only a draining heartbeat
 // may be used, and the newest heartbeat is kept for resolveDeparture. This
 // becomes known from the store, from another node, or from a server that
-// continues to report that it is ready. A heartbeat of a server that has left
-// is changed to draining.
-func (n *Node) admitHeartbeat(h *toucanbackend.Heartbeat) bool {
+// continues to report that it is ready.
+func (n *Node) admitHeartbeat(h toucanbackend.Heartbeat) bool {
 	n.startup.mu.Lock()
 	defer n.startup.mu.Unlock()
 	now := n.clock.Now()
@@ -99,102 +106,166 @@
 		n.startup.departureResolved = true
 	}
 	if n.startup.lastHeartbeat.Born <= h.Born {
-		n.startup.lastHeartbeat = *h
-	}
-	if n.startup.priorDeparture == (departure{h.Instance, h.Born}) {
-		h.State = toucanbackend.Draining
+		n.startup.lastHeartbeat = h
 	}
 	return n.startup.departureResolved || h.State == toucanbackend.Draining
 }
 
 func (n *Node) observeHeartbeat(h toucanbackend.Heartbeat) error {
-	if n.runner.Observe(h) == toucanbackend.Late {
+	verdict := n.runner.Observe(h)
+	if verdict == toucanbackend.Late {
 		n.log.Info("late heartbeat", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence, "state", string(h.State))
+	}
+	if h.State != toucanbackend.Draining {
 		return nil
 	}
-	if h.State == toucanbackend.Draining {
-		return n.recordDeparture(h.Instance, h.Born)
+	if s := n.runner.Server(); verdict == toucanbackend.Late && s.Instance == h.Instance && s.Born == h.Born && !s.Left {
+		return nil // the same start reported later that it is ready
 	}
-	return nil
+	n.runner.MarkLeft(h.Instance, h.Born)
+	return n.recordDeparture(departure{h.Instance, h.Born})
 }
 
-// HandleDeparture handles the message of a backend server that it has left.
+// HandleDeparture handles the message of a backend server that it has left. The node
+// may not know the server: it may have just started, or heard of an earlier one only.
 func (n *Node) HandleDeparture(instance string, born int64) error {
+	if s := n.runner.Server(); born == 0 && s.Instance == instance {
+		born = s.Born
+	}
+	if born == 0 {
+		return fmt.Errorf("departure of server %s, which is not known, has no start time", instance)
+	}
 	if n.runner.MarkLeft(instance, born) == toucanbackend.Late {
 		n.log.Info("departure of another server", "instance", instance, "born", born)
-		return nil
 	}
-	return n.recordDeparture(instance, n.runner.Server().Born)
+	return n.recordDeparture(departure{instance, born})
 }
 
-// recordDeparture records a departure in the store or, if that fails, at
-// another node. It returns an error if both fail; the departure must not be
-// acknowledged then.
-func (n *Node) recordDeparture(instance string, born int64) error {
-	d := departure{Instance: instance, Born: born}
-	n.startup.mu.Lock()
-	recorded := n.startup.recordedDeparture == d
-	n.startup.mu.Unlock()
-	if recorded {
+// recordDeparture waits until the store has a departure. It returns an error if that
+// takes too long; the departure must not be acknowledged then, because only the store
+// outlives the processes of all nodes. The attempts to record it go on.
+func (n *Node) recordDeparture(d departure) error {
+	t := time.NewTimer(departureAckTimeout)
+	defer t.Stop()
+	select {
+	case <-n.startRecording(d):
 		return nil
+	case <-t.C:
+		return fmt.Errorf("departure of server %s born %d is not recorded after %v", d.Instance, d.Born, departureAckTimeout)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	err := n.writeDeparture(ctx, d)
-	announced := err != nil && n.announceAndWait()
-	n.log.Info("departure", "instance", instance, "born", born, "stored", err == nil, "heard", announced, "err", err)
-	if err != nil && !announced {
-		return fmt.Errorf("record the departure: %w", err)
-	}
-	n.startup.mu.Lock()
-	n.startup.recordedDeparture = d
-	n.startup.mu.Unlock()
-	if err != nil {
-		go n.retryDeparture(d)
+}
+
+// startRecording starts to record a departure unless that was started before. It returns
+// a channel that is closed when the store has the departure.
+func (n *Node) startRecording(d departure) <-chan struct{} {
+	n.recording.mu.Lock()
+	defer n.recording.mu.Unlock()
+	if recorded, ok := n.recording.started[d]; ok {
+		return recorded
 	}
-	return nil
+	recorded := make(chan struct{})
+	n.recording.started[d] = recorded
+	go n.keepRecording(d, recorded)
+	return recorded
 }
 
-// retryDeparture writes a departure that only other nodes have recorded to the store
-// until that succeeds or the departure no longer matters.
-func (n *Node) retryDeparture(d departure) {
+// keepRecording tries to record a departure until that succeeds or the departure no
+// longer matters.
+func (n *Node) keepRecording(d departure, recorded chan struct{}) {
 	end := n.clock.Now().Add(departureTTL)
 	for n.clock.Now().Before(end) {
+		byPeer, err := n.tryRecord(d)
+		n.log.Info("departure", "instance", d.Instance, "born", d.Born, "stored", err == nil, "by_peer", byPeer, "err", err)
+		if err == nil {
+			close(recorded)
+			time.AfterFunc(departureTTL, func() { n.endRecording(d) })
+			return
+		}
 		select {
 		case <-n.stop:
 			return
 		case <-time.After(departureRetryDelay):
 		}
-		if b := n.runner.Server(); b.Instance != d.Instance || b.Born != d.Born {
-			return // another server has replaced it
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		err := n.writeDeparture(ctx, d)
-		cancel()
-		if err == nil {
-			n.log.Info("departure", "instance", d.Instance, "born", d.Born, "stored", true, "heard", true)
-			return
-		}
 	}
+	n.endRecording(d)
 }
 
-func (n *Node) writeDeparture(ctx context.Context, d departure) error {
-	value, err := json.Marshal(d)
-	if err != nil {
-		return err
+func (n *Node) endRecording(d departure) {
+	n.recording.mu.Lock()
+	defer n.recording.mu.Unlock()
+	delete(n.recording.started, d)
+}
+
+// tryRecord records a departure in the store. If the store does not serve this node, it
+// asks other nodes to do so, which the store may serve.
+func (n *Node) tryRecord(d departure) (byPeer bool, err error) {
+	unreachable := n.store.isUnreachable()
+	if unreachable && n.recordByPeer(d) {
+		return true, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
+	defer cancel()
+	err = n.probeStore(ctx)
+	if err == nil {
+		err = n.writeDeparture(ctx, n.settings.Load().Node, d)
+	}
+	n.recordStoreHealth(err)
+	if err != nil && !unreachable && n.recordByPeer(d) {
+		return true, nil
 	}
+	return false, err
+}
+
+func (n *Node) recordByPeer(d departure) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
+	defer cancel()
+	return n.fleet.RecordDeparture(ctx, toucanpeer.Departure{Node: n.settings.Load().Node, Instance: d.Instance, Born: d.Born})
+}
+
+// writeDeparture adds a departure to the record of a node in the store. The record may
+// hold departures that this node has not read yet.
+func (n *Node) writeDeparture(ctx context.Context, node string, d departure) error {
 	lease, err := n.store.Grant(ctx, departureTTL)
 	if err != nil {
 		return err
 	}
-	_, err = n.store.Put(ctx, departurePrefix+n.settings.Load().Node, value, lease, toucanstore.AnyRevision)
-	return err
+	record, revision := []departure{d}, uint64(0)
+	for {
+		value, err := json.Marshal(record)
+		if err != nil {
+			return err
+		}
+		_, err = n.store.Put(ctx, departurePrefix+node, value, lease, revision)
+		var conflict *toucanstore.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		stored := n.decodeDepartures(conflict.Current)
+		if slices.Contains(stored, d) {
+			return nil
+		}
+		record, revision = append(stored, d), conflict.Current.Revision
+		record = record[max(0, len(record)-maxDepartures):]
+	}
+}
+
+// decodeDepartures decodes a record of departures.
+func (n *Node) decodeDepartures(i toucanstore.Item) (list []departure) {
+	if len(i.Value) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(i.Value, &list); err != nil {
+		n.log.Error("unreadable departure", "key", i.Key, "err", err)
+		return nil
+	}
+	return slices.DeleteFunc(list, func(d departure) bool { return d.Instance == "" })
 }
 
 // recoverState writes the member of this node for the first time, under the condition
 // that the store has neither a departure of its backend server nor a member of an
 // earlier start of this node. If the condition fails, the store returns both. It
-// retries until the store answers or the departure is resolved by other means.
+// retries until the store answers, also if the departure is resolved by other means
+// meanwhile: late heartbeats may have put a server into use that has left.
 func (n *Node) recoverState(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := n.createMember(ctx)
@@ -205,16 +276,18 @@
 		switch {
 		case err == nil:
 			n.awaitNeighbours(ctx)
-			n.resolveDeparture(departure{}, "store")
+			n.resolveDeparture("store")
 			return
 		case errors.As(err, &conflict):
 			n.applyStoredState(ctx, conflict)
 			return
-		case n.isDepartureResolved():
-			return
 		}
 		n.log.Warn("departures not read", "err", err)
-		sleep(ctx, startRetryDelay)
+		if n.isDepartureResolved() {
+			sleep(ctx, renewRetryDelay)
+		} else {
+			sleep(ctx, startRetryDelay)
+		}
 	}
 }
 
@@ -235,7 +308,7 @@
 	}
 }
 
-// applyStoredState resolves the departure that the store has, or resumes the backend
+// applyStoredState resolves the departures that the store has, and resumes the backend
 // server that this node served before it restarted, without waiting for the next
 // heartbeat: a departure of that server would have been recorded, and a server that
 // has replaced it refuses the calls for it.
@@ -244,16 +317,13 @@
 	n.member.revision = stored.Current.Revision
 	n.member.mu.Unlock()
 	for _, i := range stored.Others {
-		var d departure
-		if err := json.Unmarshal(i.Value, &d); err != nil {
-			n.log.Error("unreadable departure", "key", i.Key, "err", err)
-			continue
+		if departed := n.decodeDepartures(i); len(departed) > 0 {
+			n.resolveDeparture("store", departed...)
+			return
 		}
-		n.resolveDeparture(d, "store")
-		return
 	}
 	n.awaitNeighbours(ctx)
-	n.resolveDeparture(departure{}, "store")
+	n.resolveDeparture("store")
 	if stored.Current.Revision == 0 {
 		return
 	}
@@ -268,9 +338,9 @@
 func (n *Node) handlePeerReport(addr string, m toucanpeer.Member) {
 	switch {
 	case m.Left:
-		n.resolveDeparture(departure{m.Instance, m.Born}, "peer")
+		n.resolveDeparture("peer", departure{m.Instance, m.Born})
 	case m.Instance != "" && n.confirmedByPeer(addr, departure{m.Instance, m.Born}):
-		n.resolveDeparture(departure{}, "peer")
+		n.resolveDeparture("peer")
 		n.resumeServer(m)
 	}
 }
@@ -283,17 +353,15 @@
 	defer n.startup.mu.Unlock()
 	same := n.startup.lastReport == d && n.startup.lastReporter != addr
 	n.startup.lastReport, n.startup.lastReporter = d, addr
-	return same && n.startup.priorDeparture.Instance != d.Instance
+	return same && !n.runner.HasLeft(d.Instance, d.Born)
 }
 
 // resumeServer uses a backend server without waiting for its next heartbeat,
 // unless the server has left or the node already knows one.
 func (n *Node) resumeServer(m toucanpeer.Member) {
 	s := n.settings.Load()
-	n.startup.mu.Lock()
-	left := n.startup.priorDeparture == departure{m.Instance, m.Born}
-	n.startup.mu.Unlock()
-	if m.Instance == "" || m.Left || left || m.Service != s.Service || n.runner.Server().Instance != "" {
+	left := m.Left || n.runner.HasLeft(m.Instance, m.Born)
+	if m.Instance == "" || left || m.Service != s.Service || n.runner.Server().Instance != "" {
 		return
 	}
 	n.log.Info("resume", "instance", m.Instance, "born", m.Born)
@@ -309,25 +377,21 @@
 }
 
 // resolveDeparture ends the wait for a departure before this start and handles
-// the heartbeat that was kept meanwhile. departed is zero if no server has
-// left.
-func (n *Node) resolveDeparture(departed departure, source string) {
+// the heartbeat that was kept meanwhile. departed are the servers that have left.
+func (n *Node) resolveDeparture(source string, departed ...departure) {
+	for _, d := range departed {
+		n.runner.MarkLeft(d.Instance, d.Born)
+	}
 	n.startup.mu.Lock()
 	wasResolved := n.startup.departureResolved
 	n.startup.departureResolved = true
-	if departed.Instance != "" {
-		n.startup.priorDeparture = departed
-	}
 	pending, count := n.startup.lastHeartbeat, n.startup.heartbeats
 	n.startup.mu.Unlock()
-	if departed.Instance != "" {
-		n.runner.MarkLeft(departed.Instance, departed.Born)
-	}
 	if wasResolved {
 		return
 	}
-	n.log.Info("departures known", "source", source, "departed", departed.Instance)
-	if count > 0 && n.admitHeartbeat(&pending) {
+	n.log.Info("departures known", "source", source, "departed", fmt.Sprint(departed))
+	if count > 0 && n.admitHeartbeat(pending) {
 		if err := n.observeHeartbeat(pending); err != nil {
 			n.log.Warn("held heartbeat failed", "err", err)
 		}
