toucanmesh, toucanentry: refuse requests that outlast a stopping node

Callers and backend servers saw connections that ended without a response 5.5 s after the SIGTERM of their node, for requests that had been passed on, also for ones that may run only once.

While the backend server of a stopping node works for other nodes, the node takes requests, because the runs may make calls. It compared only the clock with a fixed cutoff 1 s before its end, not the time that a request may take. Nothing tells a call of the backend server from a request of a caller, so both were taken and cut.

The entry now knows the end of the node. It takes a request if its deadline and the time for its outcome lie before the end. A later deadline is shortened if the request may run again and recent calls of its route fitted into the time that is left, with a margin. All others are refused with 503 before they are passed on. Calls that end in time are served until the end, no longer refused in its last second.

New tests on the old code: TestStoppingNodeCutsNoForwardedRequest failed with 35 requests on new, kept and pipelined connections, such as "request once-new-2.35s, sent 2.351083254s after the stop, reached a backend server and got status 0, error unexpected EOF after 1.153977623s" (grace time 4 s); TestStoppingNodeServesCallsThatEndInTime with "503 != 200".

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -37,9 +37,11 @@
 	// outcomeGrace is the time after the deadline in which the node that was sent
 	// the request can still report its outcome.
 	outcomeGrace = 60 * time.Millisecond
+	// durationMargin is the multiple of the longest recent duration of a request that must
+	// be left before the node ends.
+	durationMargin = 1.25
 	// defaultRetryAfter is the Retry-After value of a request that is refused
-	// before its route is known: while no configuration is known or the condition
-	// of RefuseWhile holds.
+	// while no configuration is known or because the node stops.
 	defaultRetryAfter = 200 * time.Millisecond
 )
 
@@ -64,17 +66,44 @@
 	Table       atomic.Pointer[toucanroute.Table]
 	Metrics     Metrics
 
-	refuseCondition atomic.Pointer[func() bool]
-	throttle        throttle
+	shutdown atomic.Pointer[shutdown]
+	throttle throttle
 }
 
-// RefuseWhile makes the entry refuse new requests with reason ReasonLeaving while
-// cond returns true.
-func (e *Entry) RefuseWhile(cond func() bool) { e.refuseCondition.Store(&cond) }
+// shutdown is the state of an entry whose node is about to end.
+type shutdown struct {
+	end  time.Time
+	idle func() bool
+}
+
+// StopAt makes the entry refuse new requests with reason ReasonLeaving while idle
+// returns true, and those that cannot be expected to be answered before end.
+func (e *Entry) StopAt(end time.Time, idle func() bool) {
+	e.shutdown.Store(&shutdown{end: end, idle: idle})
+}
 
-func (e *Entry) refusing() bool {
-	cond := e.refuseCondition.Load()
-	return cond != nil && (*cond)()
+// accepts reports whether the entry takes a new request. One that may last beyond the
+// end of the node is taken only if it may run again and requests of its route have been
+// answered in the time that is left; it gets an earlier deadline.
+func (e *Entry) accepts(q *request) bool {
+	s := e.shutdown.Load()
+	if s == nil {
+		return true
+	}
+	latest := s.end.Add(-outcomeGrace)
+	switch {
+	case s.idle():
+		return false
+	case !q.deadline.After(latest):
+		return true
+	}
+	longest := e.Fleet.LongestDuration(q.route.Name)
+	needed := max(q.route.Target, time.Duration(durationMargin*float64(longest)))
+	if !q.route.Repeatable || longest == 0 || latest.Sub(e.Clock.Now()) < needed {
+		return false
+	}
+	q.deadline = latest
+	return true
 }
 
 // Metrics records the status and duration of each request and the result of each
@@ -138,11 +167,8 @@
 }
 
 func (e *Entry) handle(ctx context.Context, q *request) *toucanserve.Response {
-	if q.table == nil || e.refusing() {
-		q.reason = toucancall.ReasonLeaving
-		if q.table == nil {
-			q.reason = reasonNoConfiguration
-		}
+	if q.table == nil {
+		q.reason = reasonNoConfiguration
 		return e.refuse(q, defaultRetryAfter)
 	}
 	q.route = q.table.Match(q.Host, q.Path)
@@ -163,6 +189,10 @@
 		}
 	}
 	q.deadline = q.Arrived.Add(remaining)
+	if !e.accepts(q) {
+		q.reason = toucancall.ReasonLeaving
+		return e.refuse(q, defaultRetryAfter)
+	}
 	q.service = e.Splitter.NextService(q.route)
 	var ok bool
 	if ok, q.admittedShare, q.pressure = e.throttle.admit(q.route, q.service, e.Clock.Now()); !ok {
--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -10,16 +10,12 @@
 	drainIdleTime = 100 * time.Millisecond
 	minDrainTime  = 2200 * time.Millisecond
 	// maxDrainTime is the longest time that all callers are served. Further
-	// requests are refused, so that requests in progress can complete within
-	// the grace time.
+	// requests are refused unless they can be answered within the grace time.
 	maxDrainTime      = 3 * time.Second
 	drainPollInterval = 20 * time.Millisecond
 	// minLeaveTime is the shortest time that other nodes have to receive the
 	// announcement that this node leaves.
 	minLeaveTime = 200 * time.Millisecond
-	// lastCallReserve is the time before the end of the shutdown in which the
-	// backend server starts no call through this node.
-	lastCallReserve = time.Second
 	// stopReserve is the part of the grace time that is kept for removing the
 	// member and closing the node.
 	stopReserve = 500 * time.Millisecond
@@ -39,8 +35,7 @@
 	n.leaving.Store(true)
 	// Runs in progress on the backend server may still make calls through this
 	// node.
-	callCutoff := end.Add(-lastCallReserve)
-	n.entry.RefuseWhile(func() bool { return n.pendingRuns() == 0 || n.clock.Now().After(callCutoff) })
+	n.entry.StopAt(end, func() bool { return n.pendingRuns() == 0 })
 	n.publishSelf()
 	n.awaitIdle(minLeaveTime, end, func() bool { return n.server.Active() == 0 && n.pendingRuns() == 0 })
 	n.log.Info("stopped", "active", n.server.Active(), "running", n.pendingRuns(), "took", n.clock.Now().Sub(start))
--- /dev/null
+++ b/toucanmesh/stop_test.go
@@ -0,0 +1,198 @@
+package toucanmesh_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"toucanhaven/platform/platformtest"
+)
+
+// stoppingNode is a node that stops while its backend server runs a call of another node
+// until the end of the grace time.
+type stoppingNode struct {
+	*testNode
+	stock   *platformtest.Backend // beside another node; serves the routes but "hold"
+	stopped time.Time             // when the shutdown began
+	done    chan struct{}         // closed when Stop has returned
+}
+
+// Routes to the service stock, by the time in which its backend server answers.
+var stockRoutes = []struct {
+	name, kind string
+	timeout    time.Duration
+	answer     time.Duration
+}{
+	{"quick", "safe", 300 * time.Millisecond, 0},
+	{"slow", "safe", 1500 * time.Millisecond, 1400 * time.Millisecond},
+	{"once", "unsafe", 1500 * time.Millisecond, 1400 * time.Millisecond},
+	{"long", "safe", 4 * time.Second, 3800 * time.Millisecond},
+}
+
+func newStoppingNode(t *testing.T) *stoppingNode {
+	hold := platformtest.Route{Name: "hold", Prefix: "/hold/", Type: "safe", Services: map[string]int{"orders": 1}, TimeoutS: 15, TargetS: 0.5}
+	routes := []platformtest.Route{hold}
+	for _, r := range stockRoutes {
+		routes = append(routes, platformtest.Route{
+			Name: r.name, Prefix: "/" + r.name + "/", Type: r.kind, Services: map[string]int{"stock": 1}, TimeoutS: r.timeout.Seconds(), TargetS: 0.5,
+		})
+	}
+	s := newDeployment(t, routes...)
+	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+	entry.awaitServed("/hold/")
+	home.awaitServed("/quick/")
+	entry.backend.Slots = 400
+	entry.sendHeartbeat("ready", http.StatusOK)
+	entry.backend.SetAnswer(func(w io.Writer, r *http.Request) {
+		for _, route := range stockRoutes {
+			if r.URL.Path == "/"+route.name+"/1" {
+				time.Sleep(route.answer)
+			}
+		}
+		platformtest.RespondOK(w, r)
+	})
+	home.backend.SetAnswer(platformtest.RespondAfter(2 * home.settings.Grace.Duration))
+	c, err := net.Dial("tcp", entry.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	io.WriteString(c, requestText("GET", "/hold/1", "hold", 15*time.Second, ""))
+	awaitCondition(t, "the call of the other node runs", func() bool { return home.backend.Runs("hold") == 1 })
+	return &stoppingNode{testNode: home, stock: entry.backend, done: make(chan struct{})}
+}
+
+// stop begins the shutdown.
+func (n *stoppingNode) stop() {
+	n.testNode.stopped, n.stopped = true, time.Now()
+	go func() {
+		defer close(n.done)
+		n.Stop()
+	}()
+}
+
+// sinceStop returns the time since the shutdown began.
+func (n *stoppingNode) sinceStop() time.Duration { return time.Since(n.stopped) }
+
+// dial connects to the address for callers.
+func (n *stoppingNode) dial(t *testing.T) net.Conn {
+	c, err := net.Dial("tcp", n.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// lateRequest is a request to a stopping node.
+type lateRequest struct {
+	id     string
+	behind bool          // sent behind another one on its connection
+	sent   time.Duration // since the shutdown began
+	took   time.Duration
+	response
+}
+
+// send sends requests on a connection in one write and waits for their responses.
+func (n *stoppingNode) send(c net.Conn, route string, ids ...string) []lateRequest {
+	text := ""
+	for _, id := range ids {
+		text += requestText("POST", "/"+route+"/1", id, 5*time.Second, "")
+	}
+	sent := n.sinceStop()
+	_, err := io.WriteString(c, text)
+	r := bufio.NewReader(c)
+	var all []lateRequest
+	for i, id := range ids {
+		l := lateRequest{id: id, behind: i > 0, sent: sent, response: response{err: err}}
+		if err == nil {
+			l.response = readResponse(r)
+		}
+		l.took = n.sinceStop() - sent
+		all = append(all, l)
+	}
+	return all
+}
+
+// lossSlack is the time after which a request that was read may no longer be cut.
+const lossSlack = 200 * time.Millisecond
+
+// checkAnswered checks that a request was answered if it was passed on, and that it was
+// refused or its connection closed soon otherwise.
+func (n *stoppingNode) checkAnswered(t *testing.T, l lateRequest) {
+	runs := n.stock.Runs(l.id)
+	switch {
+	case runs > 0 && (l.err != nil || l.status != http.StatusOK):
+		t.Errorf("request %s, sent %v after the stop, reached a backend server and got status %d, error %v after %v", l.id, l.sent, l.status, l.err, l.took)
+	case l.err == nil && runs == 0 && (l.status != http.StatusServiceUnavailable || l.header.Get("Retry-After") == ""):
+		t.Errorf("request %s, sent %v after the stop, did not run and got status %d, header %v", l.id, l.sent, l.status, l.header)
+	case l.err != nil && !l.behind && l.took > lossSlack:
+		t.Errorf("request %s, sent %v after the stop, got error %v after %v", l.id, l.sent, l.err, l.took)
+	}
+}
+
+// A stopping node must pass on no request that it would cut at its end.
+func TestStoppingNodeCutsNoForwardedRequest(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	n := newStoppingNode(t)
+	grace := n.settings.Grace.Duration
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var all []lateRequest
+	start := func(c net.Conn, route string, at time.Duration, ids ...string) {
+		wg.Go(func() {
+			time.Sleep(at - n.sinceStop())
+			if c == nil {
+				var err error
+				if c, err = net.Dial("tcp", n.settings.CallerAddress); err != nil {
+					return
+				}
+				defer c.Close()
+			}
+			got := n.send(c, route, ids...)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, got...)
+		})
+	}
+	kept := make(map[time.Duration]net.Conn)
+	for at := time.Duration(0); at < grace; at += interval {
+		kept[at] = n.dial(t)
+		n.send(kept[at], "quick", fmt.Sprintf("kept-%v", at))
+	}
+	n.stop()
+	for at := time.Duration(0); at < grace; at += interval {
+		start(kept[at], "once", at, fmt.Sprintf("once-%v", at))
+		for _, route := range []string{"quick", "slow", "once"} {
+			start(nil, route, at, fmt.Sprintf("%s-new-%v", route, at))
+		}
+		start(nil, "slow", at, fmt.Sprintf("first-%v", at), fmt.Sprintf("second-%v", at))
+	}
+	wg.Wait()
+	<-n.done
+	for _, l := range all {
+		n.checkAnswered(t, l)
+	}
+}
+
+// A stopping node must not refuse a call of its backend server that can still end in time.
+func TestStoppingNodeServesCallsThatEndInTime(t *testing.T) {
+	is := is.New(t)
+	n := newStoppingNode(t)
+	n.stop()
+	for n.sinceStop() < n.settings.Grace.Duration-time.Second {
+		id := fmt.Sprintf("quick-%v", n.sinceStop())
+		got := n.send(n.dial(t), "quick", id)[0]
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	<-n.done
+}
