toucanlog: bound the wait for the reader of the log at the end

Operators saw a node that was told to stop and still ran after its grace time, with its listeners closed: it waited for a reader of its log that had stalled.

The last flush had no time limit. It now gives up after 100 ms, which loses the lines that the reader did not take.

TestStopDespiteStalledLog starts the program with a full pipe that nobody reads as its output. On the old code: "the process runs 4s after SIGTERM", its whole grace time; now it ends before.

--- a/cmd/toucanhaven/mesh.go
+++ b/cmd/toucanhaven/mesh.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"toucanhaven/platform"
 	"toucanhaven/toucanclock"
@@ -20,6 +21,10 @@
 // often.
 const meshMemoryLimitShare = 0.6
 
+// finalFlushTimeout limits the time that the end of the process waits for the reader of
+// its log.
+const finalFlushTimeout = 100 * time.Millisecond
+
 // meshCommand runs the node of a platform deployment until SIGTERM or SIGINT stops
 // it. SIGHUP makes the node reload its settings.
 func meshCommand() command {
@@ -58,7 +63,7 @@
 	out := toucanlog.NewWriter(os.Stdout)
 	stopped := make(chan struct{})
 	go out.Run(stopped)
-	defer out.Flush()
+	defer out.FlushWithin(finalFlushTimeout)
 	defer close(stopped)
 	n, err := toucanmesh.New(toucanmesh.Options{
 		Settings: s, SettingsFile: file, Store: platform.NewStore(s.StoreAddress),
--- a/toucanlog/writer.go
+++ b/toucanlog/writer.go
@@ -103,3 +103,17 @@
 	w.spareBuf = lines[:0]
 	w.mu.Unlock()
 }
+
+// FlushWithin is like Flush, but gives up after d. The output may be a pipe that nobody
+// reads.
+func (w *Writer) FlushWithin(d time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Flush()
+	}()
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
+}
