toucanentry, toucanserve: refuse pipelined requests that a stopping node may cut

A caller that sent a request behind another one on its connection got no response to it, though a backend server had answered: the response must follow the one before, and the node ended before that one was known.

The entry looked only at the time that the request itself may take. The server now tells it that an earlier request of the connection has no response yet. While the entry takes only what it can answer before the end, it refuses such a request. It has not been passed on, so the caller may send it again.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -92,7 +92,7 @@
 	}
 	latest := s.end.Add(-outcomeGrace)
 	switch {
-	case s.idle():
+	case s.idle(), q.Pipelined: // the response before it may be late
 		return false
 	case !q.deadline.After(latest):
 		return true
--- a/toucanmesh/stop_test.go
+++ b/toucanmesh/stop_test.go
@@ -196,3 +196,19 @@
 	}
 	<-n.done
 }
+
+// A stopping node must pass on no request behind one that may last beyond its end.
+func TestStoppingNodeCutsNoPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	n := newStoppingNode(t)
+	c := n.dial(t)
+	n.stop()
+	_, err := io.WriteString(c, requestText("GET", "/long/1", "first", 5*time.Second, ""))
+	is.NoErr(err)
+	time.Sleep(n.settings.Grace.Duration/2 + 200*time.Millisecond)
+	_, err = io.WriteString(c, requestText("GET", "/quick/1", "second", 5*time.Second, ""))
+	is.NoErr(err)
+	<-n.done
+	is.Equal(n.stock.Runs("first"), 1)
+	is.Equal(n.stock.Runs("second"), 0)
+}
--- a/toucanserve/conn.go
+++ b/toucanserve/conn.go
@@ -141,6 +141,7 @@
 		c.server.Bodies.Release(r.held)
 		return false
 	}
+	r.Pipelined = c.pending > 0
 	c.pending++
 	full := c.pending >= maxPipelined
 	c.mu.Unlock()
--- a/toucanserve/server.go
+++ b/toucanserve/server.go
@@ -27,7 +27,10 @@
 	Header  http.Header
 	Body    []byte
 	Arrived time.Time
-	held    int64 // bytes of Server.Bodies that the body holds
+	// Pipelined is set if the request before on the connection had no response yet. The
+	// response to this request follows that one.
+	Pipelined bool
+	held      int64 // bytes of Server.Bodies that the body holds
 }
 
 // Handler handles a request. ctx ends when the caller closes the connection. If
