toucanmesh: refuse runs that are expected to outlast a stopping node

Callers at other nodes got 504 for requests that may run only once, which the backend server beside a stopping node was still running when the node ended. The nodes that sent them could only wait for the outcome.

For the first 2 to 3 s after SIGTERM a node took all calls of other nodes. It now refuses those with more time left than the node has, if twice the mean duration of the runs does not fit into it. The sender then chooses another node. Where runs are short against the grace time, nothing changes.

TestStoppingNodeTakesNoRunThatOutlastsIt on the commit before: 10 of 40 requests of 2.5 s failed, such as "request 21 got status 504, error <nil>" (grace time 4 s); with this change all are answered with 200.

--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -12,7 +12,7 @@
 
 // Run runs a call on the backend server beside this node.
 func (h *peerHandler) Run(ctx context.Context, c *toucanpeer.Call) toucanpeer.Result {
-	if h.leaving.Load() {
+	if !(*Node)(h).takesRun(c) {
 		return h.completeReport(toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonLeaving, Report: h.runner.Report()})
 	}
 	size := int64(len(c.Body))
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -95,8 +95,9 @@
 	metrics *meter
 	dropped func() uint64
 
-	stopping  atomic.Bool // callers are drained and the readiness check fails
-	leaving   atomic.Bool // calls of other nodes are refused
+	stopping  atomic.Bool               // callers are drained and the readiness check fails
+	leaving   atomic.Bool               // calls of other nodes are refused
+	end       atomic.Pointer[time.Time] // when a stopping node ends; nil before
 	stop      chan struct{}
 	listeners []net.Listener
 	servers   []*http.Server
--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -1,6 +1,10 @@
 package toucanmesh
 
-import "time"
+import (
+	"time"
+
+	"toucanhaven/toucanpeer"
+)
 
 const (
 	// drainIdleTime is how long a draining node must be idle before it goes on
@@ -13,6 +17,9 @@
 	// requests are refused unless they can be answered within the grace time.
 	maxDrainTime      = 3 * time.Second
 	drainPollInterval = 20 * time.Millisecond
+	// runMargin is the multiple of the mean duration of a run that must be left before
+	// the node ends.
+	runMargin = 2
 	// minLeaveTime is the shortest time that other nodes have to receive the
 	// announcement that this node leaves.
 	minLeaveTime = 200 * time.Millisecond
@@ -28,6 +35,7 @@
 func (n *Node) Stop() {
 	start, grace := n.clock.Now(), n.settings.Load().Grace.Duration
 	end := start.Add(grace - stopReserve)
+	n.end.Store(&end)
 	n.log.Info("stop", "active", n.server.Active(), "running", n.pendingRuns())
 	n.stopping.Store(true)
 	n.server.Drain()
@@ -72,6 +80,20 @@
 	}
 }
 
+// takesRun reports whether the node takes a call of another node. While it stops, it
+// takes none that is likely to last beyond its end.
+func (n *Node) takesRun(c *toucanpeer.Call) bool {
+	end := n.end.Load()
+	switch {
+	case n.leaving.Load():
+		return false
+	case end == nil:
+		return true
+	}
+	remaining := end.Sub(n.clock.Now())
+	return c.Left <= remaining || runMargin*n.runner.Report().Duration <= remaining
+}
+
 // pendingRuns returns the number of calls that run or wait in the queue.
 func (n *Node) pendingRuns() int {
 	r := n.runner.Report()
