toucannode: refuse calls that may outlast the stop timeout

Callers got a closed connection for a call that the entry had forwarded late in its stop timeout, also for calls that may run only once.

While its backend server is still at work, a stopping node serves calls for other services as an entry, until the stop timeout passes and Stop closes the connections. Like the mesh node, it did not compare the time that a call may take with the time that is left. It now refuses a call as not_run with reason leaving if its deadline lies after that. Child calls are part of a run that the node waits for and are served as before.

TestStoppingEntryCutsNoForwardedCall on the code before: "stop_test.go:155: EOF", for a call sent 500 ms after the start of a stop with a timeout of 1 s.

--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -173,6 +173,9 @@
 		return e.refuse(ctx, &reply{refusal: refusal})
 	}
 	e.in.body = body
+	if e.outlastsNode() {
+		return e.refuse(ctx, notRunReply(toucancall.ReasonLeaving, "the node may end before the call"))
+	}
 	level, reason := n.gate.Check(e.call, e.parent != nil)
 	if reason != "" {
 		return e.refuse(ctx, notRunReply(reason, ""))
@@ -184,6 +187,16 @@
 	return e.makeAttempts(ctx, "")
 }
 
+// answerTime is the time after the deadline of a call in which its reply is written.
+const answerTime = 100 * time.Millisecond
+
+// outlastsNode reports whether the node stops and may end before the call. A child call
+// is part of a run that the node waits for.
+func (e *entryCall) outlastsNode() bool {
+	end := e.n.stopDeadline.Load()
+	return end != nil && e.parent == nil && e.call.Deadline.Add(answerTime).After(*end)
+}
+
 func isSafeMethod(method string) bool {
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -109,7 +109,8 @@
 	servers         []*http.Server // caller, peer, admin
 	peerConns       atomic.Int64
 	stopping        atomic.Bool
-	ctx             context.Context // ends when Stop cancels the background tasks
+	stopDeadline    atomic.Pointer[time.Time] // when Stop closes the connections; nil before Stop
+	ctx             context.Context           // ends when Stop cancels the background tasks
 	cancel          context.CancelFunc
 	backgroundTasks []func() // started by Start
 	background      sync.WaitGroup
@@ -388,6 +389,9 @@
 func (n *Node) Stop(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout)
 	defer cancel()
+	if end, ok := ctx.Deadline(); ok {
+		n.stopDeadline.Store(&end)
+	}
 	n.stopping.Store(true)
 	n.drainBackend()
 	n.waitForRuns(ctx)
--- a/toucannode/stop_test.go
+++ b/toucannode/stop_test.go
@@ -116,6 +116,50 @@
 	is.True(node.Stop(context.Background()) != nil)
 }
 
+// TestStoppingEntryCutsNoForwardedCall guards against an entry that forwards a call late
+// in its stop timeout and closes the connection of the caller before the answer.
+func TestStoppingEntryCutsNoForwardedCall(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t)
+	f.settings.StopTimeout = time.Second
+	var lateRuns atomic.Int64
+	f.startNode("magazzino", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/late" {
+			lateRuns.Add(1)
+			time.Sleep(700 * time.Millisecond)
+		}
+	}))
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	node := f.startNode("ordini", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}))
+	entry := f.startNode("", nil)
+	go func() {
+		req, err := http.NewRequest("GET", "http://"+entry.Addresses().Caller+"/", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Header.Set(toucancall.HeaderService, "ordini")
+		if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-started
+	stopped := make(chan error)
+	go func() { stopped <- node.Stop(context.Background()) }()
+	await(t, node.stopping.Load)
+	time.Sleep(500 * time.Millisecond)
+	resp, _ := f.do(node, "POST", "/late", nil, toucancall.HeaderService, "magazzino", toucancall.HeaderTimeout, "1000")
+	is.Equal(outcome(resp), "not_run leaving")
+	is.Equal(lateRuns.Load(), int64(0))
+	resp, _ = f.do(node, "POST", "/", nil, toucancall.HeaderService, "magazzino", toucancall.HeaderTimeout, "100")
+	is.Equal(outcome(resp), "answered")
+	is.True(<-stopped != nil)
+}
+
 // TestChildCallsInherit checks that a child call carries the identity of its
 // parent whatever its own headers say, and that it gets no more than the lent
 // part of the retry allowance and of the time.
