--- a/toucanmesh/stop_test.go
+++ b/toucanmesh/stop_test.go
@@ -254,3 +254,14 @@
 	}
 	wg.Wait()
 }
+
+// A node whose store does not answer must still end within its grace time, also with work
+// in progress.
+func TestStopEndsWithinGraceWithoutStore(t *testing.T) {
+	is := is.New(t)
+	n := newStoppingNode(t)
+	n.deployment.store.SetFault(platformtest.Unresponsive)
+	n.stop()
+	<-n.done
+	is.True(n.sinceStop() < n.settings.Grace.Duration)
+}
