--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -1,6 +1,10 @@
 package toucanmesh
 
-import "time"
+import (
+	"time"
+
+	"toucanhaven/toucanpeer"
+)
 
 const (
 	// drainIdleTime is how long a draining node must be idle before it goes on
@@ -10,16 +14,15 @@
 	drainIdleTime = 100 * time.Millisecond
 	minDrainTime  = 2200 * time.Millisecond
 	// maxDrainTime is the longest time that all callers are served. Further
-	// requests are refused, so that requests in progress can complete within
-	// the grace time.
+	// requests are refused unless they can be answered within the grace time.
 	maxDrainTime      = 3 * time.Second
 	drainPollInterval = 20 * time.Millisecond
+	// runMargin is the multiple of the mean duration of a run that must be left before
+	// the node ends.
+	runMargin = 2
 	// minLeaveTime is the shortest time that other nodes have to receive the
 	// announcement that this node leaves.
 	minLeaveTime = 200 * time.Millisecond
-	// lastCallReserve is the time before the end of the shutdown in which the
-	// backend server starts no call through this node.
-	lastCallReserve = time.Second
 	// stopReserve is the part of the grace time that is kept for removing the
 	// member and closing the node.
 	stopReserve = 500 * time.Millisecond
@@ -32,6 +35,7 @@
 func (n *Node) Stop() {
 	start, grace := n.clock.Now(), n.settings.Load().Grace.Duration
 	end := start.Add(grace - stopReserve)
+	n.end.Store(&end)
 	n.log.Info("stop", "active", n.server.Active(), "running", n.pendingRuns())
 	n.stopping.Store(true)
 	n.server.Drain()
@@ -39,8 +43,7 @@
 	n.leaving.Store(true)
 	// Runs in progress on the backend server may still make calls through this
 	// node.
-	callCutoff := end.Add(-lastCallReserve)
-	n.entry.RefuseWhile(func() bool { return n.pendingRuns() == 0 || n.clock.Now().After(callCutoff) })
+	n.entry.StopAt(end, func() bool { return n.pendingRuns() == 0 })
 	n.publishSelf()
 	n.awaitIdle(minLeaveTime, end, func() bool { return n.server.Active() == 0 && n.pendingRuns() == 0 })
 	n.log.Info("stopped", "active", n.server.Active(), "running", n.pendingRuns(), "took", n.clock.Now().Sub(start))
@@ -77,6 +80,20 @@
 	}
 }
 
+// takesRun reports whether the node takes a call of another node. While it stops, it
+// takes none that is likely to last beyond its end.
+func (n *Node) takesRun(c *toucanpeer.Call) bool {
+	end := n.end.Load()
+	switch {
+	case n.leaving.Load():
+		return false
+	case end == nil:
+		return true
+	}
+	remaining := end.Sub(n.clock.Now())
+	return c.Left <= remaining || runMargin*n.runner.Report().Duration <= remaining
+}
+
 // pendingRuns returns the number of calls that run or wait in the queue.
 func (n *Node) pendingRuns() int {
 	r := n.runner.Report()
