toucanmesh: a running node keeps its addresses, its name and its limits

When internalPorts changed in the settings files, every node that read its file ended with a nil pointer panic, those with a SIGHUP at once and the others within a second. Orders in progress there got no answer although servers ran them.

Cause: Reload replaced the settings as a whole, also fields that hold until a restart. The member record of the node got a peer address that the fleet does not have and the node does not listen on. Likewise a changed name listed the node under a second key, its old one stayed listed, and departures and the removal of the member went to the new key. Changes of the store address, the memory limit, the retry budget, config_delay and log_level did nothing, and no line said so.

Now Reload takes the fields that may change and keeps all others, also those that are added later, since withReload names what changes. The log names the fields that wait for a restart, once for each change of the file. Reloads run one after the other, so that a slow one cannot put an older file into force.

--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -109,7 +109,8 @@
 	return f
 }
 
-// SetSelf replaces the member record of this node.
+// SetSelf replaces the member record of this node. Its address must be the one that New
+// was given.
 func (f *Fleet) SetSelf(m toucanpeer.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/toucanmesh/harness_test.go
+++ b/toucanmesh/harness_test.go
@@ -73,10 +73,11 @@
 // testNode is a node with its backend server.
 type testNode struct {
 	*toucanmesh.Node
-	deployment *testDeployment
-	settings   toucanmesh.Settings
-	backend    *platformtest.Backend
-	stopped    bool
+	deployment   *testDeployment
+	settings     toucanmesh.Settings
+	settingsFile string // empty for none
+	backend      *platformtest.Backend
+	stopped      bool
 }
 
 // startNode starts a node for a service. Its backend server sends a heartbeat
@@ -106,7 +107,7 @@
 func (m *testNode) run() {
 	t := m.deployment.t
 	node, err := toucanmesh.New(toucanmesh.Options{
-		Settings: m.settings, Store: platform.NewStore(m.settings.StoreAddress), Clock: toucanclock.System{},
+		Settings: m.settings, SettingsFile: m.settingsFile, Store: platform.NewStore(m.settings.StoreAddress), Clock: toucanclock.System{},
 		Log: toucanlog.NewLogger(m.deployment.logs, slog.LevelInfo).With("at", m.settings.Node),
 		Platform: toucanmesh.Platform{
 			Headers: platform.Headers(), ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +85,7 @@
 	incarnation  uint64
 	started      time.Time
 	settings     atomic.Pointer[Settings]
+	reload       reloadState
 
 	runner  *toucanbackend.Runner
 	fleet   *toucanfleet.Fleet
@@ -114,6 +117,7 @@
 	}
 	n.started = o.Clock.Now()
 	n.settings.Store(&o.Settings)
+	n.reload.newest = o.Settings
 	n.bodies = toucanmemory.NewBudget(int64(bodiesMemoryShare * float64(o.Settings.MemoryMB<<20)))
 	n.runner = toucanbackend.NewRunner(toucanbackend.Options{
 		Names: o.Platform.Headers, Clock: o.Clock, Log: o.Log, OnChange: n.backendChanged,
@@ -255,16 +259,34 @@
 	}
 }
 
-// Reload reads the settings file again. The node continues to listen on the
-// addresses that it started with.
+// reloadState is the state of Reload.
+type reloadState struct {
+	mu     sync.Mutex // held during a reload, so that an older file does not replace a newer one
+	newest Settings   // newest settings that were read
+}
+
+// Reload reads the settings file again. Fields that hold until the node restarts keep the
+// values that it started with.
 func (n *Node) Reload() {
-	s, err := LoadSettings(n.settingsFile)
+	n.reload.mu.Lock()
+	defer n.reload.mu.Unlock()
+	next, err := LoadSettings(n.settingsFile)
 	if err != nil {
 		n.log.Error("reload failed; the settings stay as they are", "err", err)
 		return
 	}
-	if old := n.settings.Swap(&s); *old != s {
-		n.log.Info("reload", "service", s.Service, "data_centre", s.DataCentre)
+	if next == n.reload.newest {
+		return
+	}
+	n.reload.newest = next
+	old := *n.settings.Load()
+	s := old.withReload(next)
+	n.log.Info("reload", "service", s.Service, "data_centre", s.DataCentre)
+	if fields := s.differingFields(next); len(fields) > 0 {
+		n.log.Warn("settings need a restart", "fields", strings.Join(fields, ","))
+	}
+	if s != old {
+		n.settings.Store(&s)
 		n.publishSelf()
 	}
 }
--- a/toucanmesh/settings.go
+++ b/toucanmesh/settings.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -43,6 +44,25 @@
 	LogLevel    slog.Level `toml:"log_level"`
 }
 
+// withReload returns the settings of a running node after its settings file has changed
+// to next. The other fields identify the node, or are used only at its start.
+func (s Settings) withReload(next Settings) Settings {
+	s.Service, s.DataCentre, s.BackendAddress = next.Service, next.DataCentre, next.BackendAddress
+	s.Heartbeat, s.Grace = next.Heartbeat, next.Grace
+	return s
+}
+
+// differingFields returns the names of the fields that differ between s and other.
+func (s Settings) differingFields(other Settings) (names []string) {
+	a, b := reflect.ValueOf(s), reflect.ValueOf(other)
+	for i := range a.NumField() {
+		if !a.Field(i).Equal(b.Field(i)) {
+			names = append(names, a.Type().Field(i).Tag.Get("toml"))
+		}
+	}
+	return names
+}
+
 // defaultConfigDelay is the ConfigDelay of settings without one.
 const defaultConfigDelay = 2 * time.Second
 
