toucanmesh: use settings that change right after the start

A change of the settings file without a SIGHUP in the first second of a process never took effect: the first check took the changed file's time for that of the file that the node had read. Now the first check reads the file, and Reload does nothing if it is the same.

Evidence: TestChangeOfSettingsRightAfterStartTakesEffect, before: "condition not met within 5s: the member is written again".

--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -235,8 +235,9 @@
 	return toucanserve.Bounds{HeaderBytes: limits.HeaderBytes, BodyBytes: limits.BodyBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
-// pollSettings reloads the settings file when its modification time has
-// changed. It also calls the Tick method of the runner periodically.
+// pollSettings reloads the settings file at the first check, because it may have changed
+// since the node read it, and then when its modification time has changed. It also calls
+// the Tick method of the runner periodically.
 func (n *Node) pollSettings() {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
@@ -252,9 +253,7 @@
 		if n.settingsFile == "" || err != nil || info.ModTime().Equal(last) {
 			continue
 		}
-		if !last.IsZero() {
-			n.Reload()
-		}
+		n.Reload()
 		last = info.ModTime()
 	}
 }
--- a/toucanmesh/reload_test.go
+++ b/toucanmesh/reload_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// The first check of the file used to take the change for the file that the node had read.
+func TestChangeOfSettingsRightAfterStartTakesEffect(t *testing.T) {
+	s := newDeployment(t, safeRoute())
+	m := s.newNode("a", "orders")
+	m.settingsFile = filepath.Join(t.TempDir(), "mesh.toml")
+	m.writeSettings("", "")
+	m.run()
+	m.writeSettings("data_centre", `"other"`)
+	awaitCondition(t, "the member is written again", func() bool {
+		item, _ := s.store.Item("members/a")
+		return strings.Contains(string(item.Value), `"other"`)
+	})
+}
+
 // A field without a case may be one that a reload must not change.
 func TestReloadCasesCoverAllSettings(t *testing.T) {
 	is := is.New(t)
