cmd/toucanhaven: soak with backend servers that refuse and lose responses

TestSoak did not see orders that were refused and had run: two nodes for each service leave no room for six attempts, its backend servers never refuse and lose no response, and it checked status 503 alone.

--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,9 +24,9 @@
 )
 
 // TestSoak runs processes of the mesh node and injects faults into them, their
-// connections and their store. To run more seeds:
+// connections and their store. To run more seeds, and to keep the logs:
 //
-//	go test ./cmd/toucanhaven -run TestSoak -soak.seeds 50 -soak.first 1000 -soak.time 20s
+//	go test ./cmd/toucanhaven -run TestSoak -soak.seeds 50 -soak.first 1000 -soak.time 20s -artifacts -outputdir DIR
 var (
 	soakExtraSeeds     = flag.Int("soak.seeds", 0, "number of extra seeds; 0 runs only the fixed seeds")
 	soakFirstExtraSeed = flag.Uint64("soak.first", 1000, "first of the extra seeds")
@@ -54,12 +55,17 @@
 )
 
 func TestSoak(t *testing.T) {
-	seeds := soakFixedSeeds
+	runSoakSeeds(t, soakFixedSeeds, func(t *testing.T, seed uint64) { newTestDeployment(t, seed).run() })
+}
+
+// runSoakSeeds runs a subtest for each of the fixed seeds and of the extra seeds.
+func runSoakSeeds(t *testing.T, fixed []uint64, run func(t *testing.T, seed uint64)) {
+	seeds := slices.Clone(fixed)
 	for i := range *soakExtraSeeds {
 		seeds = append(seeds, *soakFirstExtraSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { newTestDeployment(t, seed).run() })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, seed) })
 	}
 }
 
@@ -73,8 +79,11 @@
 	stop  chan struct{}
 	wg    sync.WaitGroup
 
+	retryRatio float64 // retry budget of the nodes, as a share of the requests
+
 	mu            sync.Mutex
 	results       map[string]requestResult // by request id
+	refusals      map[string]int           // by request id; how often a backend server said that it did not run it
 	served        int
 	configVersion int
 }
@@ -105,10 +114,7 @@
 // newTestDeployment starts a store, and nodes with backend servers that vary with the
 // seed.
 func newTestDeployment(t *testing.T, seed uint64) *testDeployment {
-	s := &testDeployment{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.NewStore(t),
-		stop: make(chan struct{}), results: make(map[string]requestResult),
-	}
+	s := newEmptyDeployment(t, seed)
 	s.writeConfig()
 	for i := range soakNodeCount {
 		service := []string{"orders", "stock", "desk"}[i/2]
@@ -117,6 +123,13 @@
 	return s
 }
 
+func newEmptyDeployment(t *testing.T, seed uint64) *testDeployment {
+	return &testDeployment{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), store: platformtest.NewStore(t), retryRatio: 0.2,
+		stop: make(chan struct{}), results: make(map[string]requestResult), refusals: make(map[string]int),
+	}
+}
+
 func (s *testDeployment) writeConfig() {
 	s.configVersion += 1 + s.rng.IntN(3)
 	route := func(name, kind, service string) platformtest.Route {
@@ -127,15 +140,18 @@
 }
 
 func (s *testDeployment) newNode(name, service string) *testNode {
-	n := &testNode{name: name, service: service, dir: s.t.TempDir(), caller: platformtest.FreeAddress(s.t), control: platformtest.FreeAddress(s.t)}
+	n := &testNode{name: name, service: service, dir: filepath.Join(s.t.ArtifactDir(), name), caller: platformtest.FreeAddress(s.t), control: platformtest.FreeAddress(s.t)}
 	n.backend = platformtest.NewBackend(s.t, service, "i-"+name, "")
 	n.backend.SetAnswer(platformtest.RespondAfter(time.Duration(5+s.rng.IntN(60)) * time.Millisecond))
 	peer := platformtest.FreeAddress(s.t)
 	n.peerProxy, n.storeProxy = platformtest.NewProxy(s.t, peer), platformtest.NewProxy(s.t, s.store.Address)
 	settings := fmt.Sprintf("node = %q\nservice = %q\ndata_centre = \"dc\"\ncaller_address = %q\nready_address = %q\ncontrol_address = %q\n"+
 		"peer_address = %q\npeer_advertised = %q\nbackend_address = %q\nstore_address = %q\nmemory_mb = 128\nheartbeat = \"500ms\"\ngrace = \"4s\"\n"+
-		"retry_ratio = 0.2\nretry_slack = 20\nretry_window = \"10s\"\n",
-		name, service, n.caller, platformtest.FreeAddress(s.t), n.control, peer, n.peerProxy.Address, n.backend.Address, n.storeProxy.Address)
+		"retry_ratio = %.1f\nretry_slack = 20\nretry_window = \"10s\"\n",
+		name, service, n.caller, platformtest.FreeAddress(s.t), n.control, peer, n.peerProxy.Address, n.backend.Address, n.storeProxy.Address, s.retryRatio)
+	if err := os.Mkdir(n.dir, 0o700); err != nil {
+		s.t.Fatal(err)
+	}
 	if err := os.WriteFile(filepath.Join(n.dir, "mesh.toml"), []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -306,9 +322,14 @@
 // request is sent behind another request on the same connection.
 func (s *testDeployment) sendRequest(n *testNode, kind, id string, pipelined bool) int {
 	status, body, err := exchangeHTTP(n.caller, kind, id, pipelined && kind == "read")
+	return s.recordResult(kind, id, status, body, err)
+}
+
+// recordResult records the result of a request and checks its body.
+func (s *testDeployment) recordResult(kind, id string, status int, body string, err error) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.results[id] = requestResult{unsafe: kind == "order", status: status}
+	s.results[id] = requestResult{unsafe: kind != "read", status: status}
 	if status == http.StatusOK {
 		s.served++
 		if want := "body of /" + kind + "/" + id; err != nil || body != want {
@@ -321,6 +342,15 @@
 	return status
 }
 
+func requestText(kind, id string) string {
+	method := "POST"
+	if kind == "read" {
+		method = "GET"
+	}
+	return fmt.Sprintf("%s /%s/%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+		method, kind, id, platformtest.Host, id, soakRequestDeadline.Milliseconds())
+}
+
 // exchangeHTTP sends a request over a new connection and returns the response.
 func exchangeHTTP(address, kind, id string, pipelined bool) (status int, body string, err error) {
 	c, err := net.DialTimeout("tcp", address, time.Second)
@@ -329,14 +359,9 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(soakRequestDeadline + time.Second))
-	method := map[string]string{"order": "POST", "read": "GET"}[kind]
-	request := func(id string) string {
-		return fmt.Sprintf("%s /%s/%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-			method, kind, id, platformtest.Host, id, soakRequestDeadline.Milliseconds())
-	}
-	text := request(id)
+	text := requestText(kind, id)
 	if pipelined {
-		text = request("before-"+id) + text
+		text = requestText(kind, "before-"+id) + text
 	}
 	if _, err := io.WriteString(c, text); err != nil {
 		return 0, "", err
@@ -435,6 +460,9 @@
 	n.departedAt = time.Time{}
 }
 
+// refusalStatuses promise that the request did not run and will not run.
+var refusalStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // checkResults compares the responses that callers got with the requests that the
 // backend servers ran.
 func (s *testDeployment) checkResults() {
@@ -444,15 +472,15 @@
 		s.t.Errorf("only %d requests were served", s.served)
 	}
 	for id, r := range s.results {
-		runs := 0
+		runs := -s.refusals[id]
 		for _, n := range s.nodes {
 			runs += n.backend.Runs(id)
 		}
 		switch {
 		case r.unsafe && runs > 1:
 			s.t.Errorf("request %s ran %d times", id, runs)
-		case r.unsafe && r.status == http.StatusServiceUnavailable && runs > 0:
-			s.t.Errorf("request %s was refused and ran", id)
+		case r.unsafe && slices.Contains(refusalStatuses, r.status) && runs > 0:
+			s.t.Errorf("request %s was refused with status %d and ran", id, r.status)
 		case r.status == http.StatusOK && runs == 0:
 			s.t.Errorf("request %s got status 200 and did not run", id)
 		}
