cmd/toucanhaven: the soak changes the address of nodes in their settings

The faults of the settings file were half a file and the same file, and nodes that end when their peer address changes passed. The file between has another address now.

--- a/cmd/toucanhaven/soak_faults_test.go
+++ b/cmd/toucanhaven/soak_faults_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -57,8 +58,9 @@
 // prevent that.
 const soakStartTime = 500 * time.Millisecond
 
-// changeSettings replaces the settings file by one that is half written and then by the
-// whole one again, with a SIGHUP after each.
+// changeSettings replaces the settings file by one that is half written, by one with
+// another peer address, which holds from the next start on, and then by the whole one
+// again, with a SIGHUP after each.
 func (n *testNode) changeSettings(t *testing.T) {
 	n.processMu.Lock() // a process that starts with half a file ends with an error
 	defer n.processMu.Unlock()
@@ -74,7 +76,8 @@
 		t.Error(err)
 		return
 	}
-	for _, content := range [][]byte{whole[:len(whole)/2], whole, whole} {
+	moved := bytes.Replace(whole, []byte(n.peerProxy.Address), []byte("127.0.0.1:1"), 1)
+	for _, content := range [][]byte{whole[:len(whole)/2], moved, whole} {
 		if err := os.WriteFile(file, content, 0o600); err != nil {
 			t.Error(err)
 		}
