toucanmesh: show that half-written settings are refused

A reload takes a file that is complete as TOML. Only the order of deploy/settings.toml, whose last field is required, keeps a part of it from passing for the whole; the test cuts the filled in template at each length. It passes on the code before.

--- a/toucanmesh/settings_test.go
+++ b/toucanmesh/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -57,3 +58,22 @@
 		})
 	}
 }
+
+// In the order of the template the last field is required, so that no part of the file passes
+// for the whole.
+func TestHalfWrittenSettingsAreRefused(t *testing.T) {
+	is := is.New(t)
+	template, err := os.ReadFile("../deploy/settings.toml")
+	is.NoErr(err)
+	text := strings.ReplaceAll(string(template), "{{ip}}", "127.0.0.1")
+	text = regexp.MustCompile(`{{[^}]*\|json}}`).ReplaceAllString(text, `"127.0.0.1:1"`)
+	text = strings.TrimSpace(regexp.MustCompile(`{{[^}]*}}`).ReplaceAllString(text, "20"))
+	file := filepath.Join(t.TempDir(), "mesh.toml")
+	for size := range len(text) + 1 {
+		is.NoErr(os.WriteFile(file, []byte(text[:size]), 0o600))
+		_, err := toucanmesh.LoadSettings(file)
+		if whole := size == len(text); (err == nil) != whole {
+			t.Fatalf("%d of %d bytes: error %v", size, len(text), err)
+		}
+	}
+}
