--- a/toucanmesh/reload_test.go
+++ b/toucanmesh/reload_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"toucanhaven/platform/platformtest"
 	"toucanhaven/toucanmesh"
 )
 
@@ -88,6 +89,27 @@
 	})
 }
 
+func TestReloadTakesAnotherBackendServer(t *testing.T) {
+	is := is.New(t)
+	stock := platformtest.Route{Name: "stock", Prefix: "/stock/", Type: "safe", Services: map[string]int{"stock": 1}, TimeoutS: 2, TargetS: 0.5}
+	s := newDeployment(t, safeRoute(), stock)
+	m := s.newNode("a", "orders")
+	m.settingsFile = filepath.Join(t.TempDir(), "mesh.toml")
+	m.writeSettings("", "")
+	m.run()
+	m.sendHeartbeat("ready", http.StatusOK)
+	m.awaitServed("/read/")
+
+	m.backend = platformtest.NewBackend(t, "stock", "i-b", "")
+	m.settings.Service, m.settings.BackendAddress = "stock", m.backend.Address
+	m.writeSettings("", "")
+	m.sendHeartbeat("ready", http.StatusOK) // the node reads the file when the server is not the one it knows
+
+	m.awaitServed("/stock/")
+	is.Equal(m.backend.LastRequest().Header.Get("X-Caller-Service"), "stock")
+	is.Equal(m.send("GET", "/read/1", "r1").status, http.StatusServiceUnavailable)
+}
+
 // A field without a case may be one that a reload must not change.
 func TestReloadCasesCoverAllSettings(t *testing.T) {
 	is := is.New(t)
