cmd/toucanhaven: a reload that hangs does not delay the stop

A mesh node handled SIGTERM after the reload that a SIGHUP before it had caused. While a read of the settings file hung, the node was not drained, and the platform ended it with SIGKILL; and more than four pending SIGHUPs kept a SIGTERM out of the channel.

SIGHUP has a channel and a goroutine of its own now.

--- a/cmd/toucanhaven/mesh.go
+++ b/cmd/toucanhaven/mesh.go
@@ -33,9 +33,10 @@
 			fmt.Fprintln(os.Stderr, "toucanhaven mesh: --settings FILE is required")
 			return exitUsage
 		}
-		signals := make(chan os.Signal, 4)
+		stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 		if !check { // at once, because a SIGHUP that nobody handles ends the process
-			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			signal.Notify(reload, syscall.SIGHUP)
+			signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 		}
 		settings, err := toucanmesh.LoadSettings(settingsFile)
 		if err != nil {
@@ -45,7 +46,7 @@
 		if check {
 			return exitOK
 		}
-		if err := runMesh(settingsFile, settings, signals); err != nil {
+		if err := runMesh(settingsFile, settings, stop, reload); err != nil {
 			fmt.Fprintln(os.Stderr, "toucanhaven mesh:", err)
 			return exitFailure
 		}
@@ -53,7 +54,7 @@
 	}}
 }
 
-func runMesh(file string, s toucanmesh.Settings, signals <-chan os.Signal) error {
+func runMesh(file string, s toucanmesh.Settings, stop, reload <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(meshMemoryLimitShare * float64(s.MemoryMB<<20)))
 	out := toucanlog.NewWriter(os.Stdout)
 	stopped := make(chan struct{})
@@ -75,12 +76,12 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	go func() { // a read of the settings file that hangs must not delay the stop
+		for range reload {
+			n.Reload()
 		}
-		n.Reload()
-	}
+	}()
+	<-stop
 	n.Stop()
 	return nil
 }
