--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -26,7 +26,7 @@
 // TestSoak runs processes of the mesh node and injects faults into them, their
 // connections and their store. To run more seeds, and to keep the logs:
 //
-//	go test ./cmd/toucanhaven -run TestSoak -soak.seeds 50 -soak.first 1000 -soak.time 20s -artifacts -outputdir DIR
+//	go test ./cmd/toucanhaven -run TestSoak -timeout 60m -soak.seeds 50 -soak.first 1000 -artifacts -outputdir DIR
 var (
 	soakExtraSeeds     = flag.Int("soak.seeds", 0, "number of extra seeds; 0 runs only the fixed seeds")
 	soakFirstExtraSeed = flag.Uint64("soak.first", 1000, "first of the extra seeds")
