toucanpeer: a late "not run" of a node that may have forgotten the call is unknown

After a break a node is asked for the outcome of a call until the deadline of the request, which the configuration does not bound. It keeps ids for 60 s. Of a call that ended before, it said "not run", and the caller got 503.

The sender counts "not run" as unknown once IDRetention has passed since it sent the call. It reads its own clock only, so pauses of either node count as time.

Evidence: TestNotRunIsUnknownAfterIDRetention, "not_run != unknown" before. Shown by that test only: it takes a deadline of more than 60 s.

--- a/toucanbackend/history.go
+++ b/toucanbackend/history.go
@@ -1,8 +1,12 @@
 package toucanbackend
 
-import "time"
+import (
+	"time"
 
-// idHistory is a set of ids. It keeps an id for at least endedIDRetention and, as
+	"toucanhaven/toucanpeer"
+)
+
+// idHistory is a set of ids. It keeps an id for at least toucanpeer.IDRetention and, as
 // long as further ids are added, for about twice that time at most.
 type idHistory struct {
 	current, previous map[string]struct{}
@@ -10,7 +14,7 @@
 }
 
 func (h *idHistory) add(id string, now time.Time) {
-	if h.current == nil || now.Sub(h.currentSince) >= endedIDRetention {
+	if h.current == nil || now.Sub(h.currentSince) >= toucanpeer.IDRetention {
 		h.previous, h.current, h.currentSince = h.current, make(map[string]struct{}), now
 	}
 	h.current[id] = struct{}{}
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -34,10 +34,6 @@
 	// rejectedIDRetention is how long a call is refused whose outcome was asked for
 	// before the call arrived. It is longer than any connection delays a message.
 	rejectedIDRetention = 30 * time.Second
-	// endedIDRetention is the least time for which the id of an ended call is kept.
-	// It is longer than any sender waits, including a sender that was paused for
-	// seconds.
-	endedIDRetention = 60 * time.Second
 )
 
 // Runner runs calls at the backend server beside the node. It is safe for
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -30,6 +30,9 @@
 	// outcomeTimeout is how long a call that may be retried waits for its outcome
 	// after its connection broke.
 	outcomeTimeout = 150 * time.Millisecond
+	// IDRetention is the least time for which a node keeps the id of a call that has
+	// ended. Later its "not run" does not count, as it may have forgotten the call.
+	IDRetention = 60 * time.Second
 )
 
 // Observer receives the events of links. The address is that of the other node.
@@ -43,10 +46,11 @@
 
 // Link is a connection to another node. It is dialled again when it breaks.
 type Link struct {
-	addr     string
-	hello    func() Hello
-	ping     func() Ping
-	observer Observer
+	addr        string
+	hello       func() Hello
+	ping        func() Ping
+	observer    Observer
+	idRetention time.Duration
 
 	mu           sync.Mutex
 	client       *rpc.Client
@@ -63,7 +67,7 @@
 
 // NewLink returns a link that is not connected. Tick dials it.
 func NewLink(addr string, hello func() Hello, ping func() Ping, o Observer) *Link {
-	return &Link{addr: addr, hello: hello, ping: ping, observer: o}
+	return &Link{addr: addr, hello: hello, ping: ping, observer: o, idRetention: IDRetention}
 }
 
 // Up reports whether the link is connected.
@@ -260,6 +264,7 @@
 	l.pendingCalls.Add(1)
 	defer l.pendingCalls.Add(-1)
 	var r Result
+	sent := time.Now()
 	err := call(ctx, client, methodRun, c, &r)
 	switch {
 	case err == nil:
@@ -275,7 +280,11 @@
 		ctx, cancel = context.WithTimeout(ctx, outcomeTimeout)
 		defer cancel()
 	}
-	return l.awaitOutcome(ctx, AwaitRequest{ID: c.ID, Incarnation: incarnation})
+	r = l.awaitOutcome(ctx, AwaitRequest{ID: c.ID, Incarnation: incarnation})
+	if r.Outcome == toucancall.NotRun && time.Since(sent) >= l.idRetention {
+		return Result{Outcome: toucancall.Unknown, Reason: toucancall.ReasonConnectionLost, Report: r.Report}
+	}
+	return r
 }
 
 // awaitOutcome asks the node for the outcome of a call whose connection broke. If
--- a/toucanpeer/link_test.go
+++ b/toucanpeer/link_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// A node that may have forgotten the call by now must not be believed that it did not run.
+func TestNotRunIsUnknownAfterIDRetention(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	h := &fakeHandler{
+		run:   func(ctx context.Context, _ *Call) Result { close(started); <-ctx.Done(); return Result{} },
+		await: func(AwaitRequest) Result { return Result{Outcome: toucancall.NotRun} },
+	}
+	link, b := newClosableLink(t, h)
+	link.idRetention = 50 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	done := make(chan Result, 1)
+	go func() { done <- link.Run(ctx, &Call{ID: "x"}) }()
+	<-started
+	time.Sleep(link.idRetention)
+	b.closeConns()
+	is.Equal((<-done).Outcome, toucancall.Unknown)
+	is.Equal(h.awaits.Load(), int64(1))
+}
+
 // A node that closes each connection at once must be dialled at a bounded rate. A
 // call that waits for its outcome must not redial in a busy loop.
 func TestRedialRateIsBounded(t *testing.T) {
