toucanentry: test that a refusal's status from an earlier node is not passed on

A node of an earlier version reports a 503 of its backend server as an answer. NewResponse makes 502 of it. No test of the entry noticed when that check was taken out; the four cases fail then with 408, 421, 429 and 503, want 502.

--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -215,3 +215,14 @@
 	}
 	return script
 }
+
+// A refusal that a node of an earlier version passes on as an answer must not get that status.
+func TestRefusalOfEarlierNodeIsNotPassedOn(t *testing.T) {
+	e, nodes := newScriptedEntry(t, 1)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			nodes.setScript([]toucanpeer.Result{{Outcome: toucancall.Answered, Status: status}})
+			is.New(t).Equal(send(e, "once", t.Name()), http.StatusBadGateway)
+		})
+	}
+}
