--- a/toucancall/attempts.go
+++ b/toucancall/attempts.go
@@ -7,8 +7,15 @@
 )
 
 // Attempts records the attempts to run one request, in order. It is immutable. The zero
-// value is that of a request that has not been sent.
-type Attempts struct{ list []Attempt }
+// value proves nothing; NewAttempts starts a record.
+type Attempts struct {
+	complete bool // list has every attempt
+	list     []Attempt
+}
+
+// NewAttempts returns the record of a request that has not been sent. Each attempt to
+// send the request must be added.
+func NewAttempts() Attempts { return Attempts{complete: true} }
 
 // Attempt is one sending of a request to a node.
 type Attempt struct {
@@ -20,19 +27,23 @@
 // WithAttempt returns the attempts and a further one, which is about to be sent to a
 // node. Its outcome is Unknown until WithOutcome sets it.
 func (a Attempts) WithAttempt(node string) Attempts {
-	return Attempts{append(slices.Clip(a.list), Attempt{Node: node, Outcome: Unknown})}
+	a.list = append(slices.Clip(a.list), Attempt{Node: node, Outcome: Unknown})
+	return a
 }
 
 // WithOutcome returns the attempts with another outcome of the newest one. An outcome
-// that is not valid counts as Unknown.
+// that is not valid counts as Unknown. Without an attempt the result proves nothing.
 func (a Attempts) WithOutcome(o Outcome, r Reason) Attempts {
+	if len(a.list) == 0 {
+		return Attempts{}
+	}
 	if !o.Valid() {
 		o = Unknown
 	}
-	list := slices.Clone(a.list)
-	newest := &list[len(list)-1]
+	a.list = slices.Clone(a.list)
+	newest := &a.list[len(a.list)-1]
 	newest.Outcome, newest.Reason = o, r
-	return Attempts{list}
+	return a
 }
 
 // Count returns the number of attempts.
@@ -60,7 +71,7 @@
 // ProveNotRun returns the proof that the request did not run, if every attempt ended
 // with NotRun. No further attempt may be sent after a proof was given out.
 func (a Attempts) ProveNotRun() (proof NotRunProof, ok bool) {
-	ok = a.PossibleRuns() == 0
+	ok = a.complete && a.PossibleRuns() == 0
 	return NotRunProof{proven: ok}, ok
 }
 
--- a/toucancall/attempts_test.go
+++ b/toucancall/attempts_test.go
@@ -16,7 +16,7 @@
 		toucancall.NotRun, toucancall.NotRun, toucancall.NotRun, toucancall.Answered, toucancall.Failed, toucancall.Unknown, "", "other",
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		var a toucancall.Attempts
+		a := toucancall.NewAttempts()
 		mayHaveRun := 0
 		for i := range rapid.IntRange(0, 8).Draw(t, "attempts") {
 			a = a.WithAttempt(fmt.Sprint(i))
@@ -36,10 +36,25 @@
 	})
 }
 
+// A record that was not started with NewAttempts may lack attempts.
+func TestZeroAttemptsProveNothing(t *testing.T) {
+	is := is.New(t)
+	var zero toucancall.Attempts
+	for _, a := range []toucancall.Attempts{
+		zero,
+		zero.WithAttempt("a").WithOutcome(toucancall.NotRun, toucancall.ReasonOverload),
+		toucancall.NewAttempts().WithOutcome(toucancall.NotRun, toucancall.ReasonOverload),
+	} {
+		proof, ok := a.ProveNotRun()
+		is.Equal(ok, false)
+		is.Equal(proof.Valid(), false)
+	}
+}
+
 // Attempts must not change when others are derived from them.
 func TestAttemptsAreImmutable(t *testing.T) {
 	is := is.New(t)
-	var none toucancall.Attempts
+	none := toucancall.NewAttempts()
 	one := none.WithAttempt("a")
 	refused := one.WithOutcome(toucancall.NotRun, toucancall.ReasonOverload)
 	answered := one.WithOutcome(toucancall.Answered, "")
@@ -63,13 +78,13 @@
 		{toucancall.Answered, "", true},
 	} {
 		is := is.New(t)
-		a := toucancall.Attempts{}.WithAttempt("a").WithOutcome(tt.outcome, tt.reason)
+		a := toucancall.NewAttempts().WithAttempt("a").WithOutcome(tt.outcome, tt.reason)
 		is.Equal(a.ReachedBackend(), tt.want)
 	}
 }
 
 func ExampleAttempts() {
-	var a toucancall.Attempts
+	a := toucancall.NewAttempts()
 	a = a.WithAttempt("n1").WithOutcome(toucancall.NotRun, toucancall.ReasonOverload)
 	a = a.WithAttempt("n2")
 	_, ok := a.ProveNotRun()
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -137,7 +137,7 @@
 // Handle handles one request and returns its response. It records the request in
 // the metrics and the log.
 func (e *Entry) Handle(ctx context.Context, r *toucanserve.Request) *toucanserve.Response {
-	q := &request{Request: r, id: r.Header.Get(e.Names.RequestID), table: e.Table.Load()}
+	q := &request{Request: r, id: r.Header.Get(e.Names.RequestID), table: e.Table.Load(), attempts: toucancall.NewAttempts()}
 	resp := e.handle(ctx, q)
 	took := e.Clock.Now().Sub(r.Arrived)
 	route := ""
--- a/toucannode/entry.go
+++ b/toucannode/entry.go
@@ -227,7 +227,7 @@
 	n := e.n
 	var excluded []string
 	var last *reply
-	var attempts toucancall.Attempts
+	attempts := toucancall.NewAttempts()
 	for {
 		if e.call.Remaining(n.clock.Now()) < minRemainingTime {
 			return e.lastReply(last, toucancall.ReasonDeadline, "")
--- a/toucanserve/conn.go
+++ b/toucanserve/conn.go
@@ -269,7 +269,7 @@
 	if !toucancall.PromisesNotRun(status) {
 		return NewResponse(status, nil, nil)
 	}
-	proof, _ := toucancall.Attempts{}.ProveNotRun()
+	proof, _ := toucancall.NewAttempts().ProveNotRun()
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		retryAfter = c.server.RetryAfter
