toucanentry: an entry of its own for each case of the test of outcomes

The cases shared one throttle. Further cases with failures made the entry refuse later ones with reason=throttled, which the test could not tell from a refusal without proof.

--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -173,7 +173,6 @@
 
 // A request of which any attempt may have reached a backend server must not get status 503.
 func TestRequestThatMayHaveRunIsNotRefused(t *testing.T) {
-	e, nodes := newScriptedEntry(t, 8)
 	f, err := os.Open("testdata/outcomes.txt")
 	if err != nil {
 		t.Fatal(err)
@@ -189,6 +188,7 @@
 			is := is.New(t)
 			want, err := strconv.Atoi(fields[2])
 			is.NoErr(err)
+			e, nodes := newScriptedEntry(t, 8) // an entry of its own, as failures make an entry throttle
 			nodes.setScript(parseScript(t, fields[3:]))
 			is.Equal(send(e, fields[1], t.Name()), want)
 		})
