toucanentry: name the refusal's status of an earlier node in the log

A 503 that a node of an earlier version passes on from its backend server became a 502 with reason="" and an empty trail, and counted as a success for the throttle. It is an attempt with the outcome unknown and the reason unproven_refusal now, as from a node of this version.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -279,6 +279,9 @@
 	} else {
 		r = target.Link.Run(ctx, c)
 	}
+	if r.Outcome == toucancall.Answered && toucancall.PromisesNotRun(r.Status) { // from a node of an earlier version
+		r.Outcome, r.Reason = toucancall.Unknown, toucancall.ReasonUnprovenRefusal
+	}
 	q.attempts, q.reason = q.attempts.WithOutcome(r.Outcome, r.Reason), r.Reason
 	e.Metrics.CountAttempt(r.Outcome, r.Reason)
 	e.throttle.recordResult(q.service, r, e.Clock.Now())
