toucannode, toucanconn: the end of an answer does not take the status of a cut one

Callers of the product's own interface got the status of the first bytes of an extra answer, such as 503, with the header fields and the body of the real one that followed, as answered. The fault is the one that toucanbackend had; both use the check in toucanconn now, and the outcome is unknown.

--- a/toucanbackend/exchange.go
+++ b/toucanbackend/exchange.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -67,7 +65,6 @@
 	errNoSignature        = errors.New("successful response has no signature header")
 	errTooManySkipped     = errors.New("too many responses to other requests")
 	errNoRequestID        = errors.New("response has no request id header")
-	errStatusLineInHeader = errors.New("status line within a response header")
 	errSwitchingProtocols = errors.New("response has status 101, but the request did not ask to switch protocols")
 )
 
@@ -174,8 +171,8 @@
 			return nil, false, err
 		}
 		conn.RemoveHeaderLimit()
-		if containsStatusLine(hr) {
-			return nil, false, errStatusLineInHeader
+		if toucanconn.ContainsStatusLine(hr) {
+			return nil, false, toucanconn.ErrStatusLineInHeader
 		}
 		if hr.StatusCode == http.StatusSwitchingProtocols {
 			return nil, false, errSwitchingProtocols
@@ -209,24 +206,6 @@
 	return nil, false, errTooManySkipped
 }
 
-// statusLine matches the start of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
-
-// containsStatusLine reports whether a status line follows within the reason phrase or
-// the header. The response is then the start of one that was cut off, with the rest of
-// the next one.
-func containsStatusLine(hr *http.Response) bool {
-	if statusLine.MatchString(hr.Status) {
-		return true
-	}
-	for _, values := range hr.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
-}
-
 // readBody reads a response body and returns the bytes of the memory for bodies that it
 // holds.
 func (r *Runner) readBody(hr *http.Response) (body []byte, held int64, err error) {
--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -188,6 +188,8 @@
 			return nil, err
 		}
 		switch {
+		case toucanconn.ContainsStatusLine(resp):
+			return nil, toucanconn.ErrStatusLineInHeader
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
 		case resp.StatusCode >= 200:
