cmd/toucanhaven: the soak of refusals always reaches six attempts

The check of the soak's own reach stays; most servers of that service refuse in the first 1.5 s now, whatever the seed. The random schedules are unchanged.

--- a/cmd/toucanhaven/soak_refusals_test.go
+++ b/cmd/toucanhaven/soak_refusals_test.go
@@ -25,6 +25,7 @@
 	soakLargeService   = 8 // nodes of orders: more than the attempts of a request
 	soakSmallService   = 3 // nodes of stock
 	soakRefusalCallers = 24
+	soakFirstFault     = 1500 * time.Millisecond
 )
 
 // TestSoakRefusals runs processes of the mesh node whose backend servers refuse requests,
@@ -126,9 +127,15 @@
 }
 
 // injectRefusals starts random faults at random intervals for soakFaultDuration and
-// waits until all have ended. Faults overlap.
+// waits until all have ended. Faults overlap. In the first one most servers of the large
+// service refuse, so that requests use up their attempts whatever the seed.
 func (s *testDeployment) injectRefusals(servers []*faultyServer) {
 	var series sync.WaitGroup
+	series.Go(func() {
+		setFaultShare(servers[:soakLargeService], 0.95)
+		time.Sleep(soakFirstFault)
+		setFaultShare(servers[:soakLargeService], 0)
+	})
 	for end := time.Now().Add(*soakFaultDuration); time.Now().Before(end); time.Sleep(time.Duration(50+s.rng.IntN(300)) * time.Millisecond) {
 		i, pause := s.rng.IntN(len(s.nodes)), time.Duration(200+s.rng.IntN(1300))*time.Millisecond
 		n, affected := s.nodes[i], servers[i:i+1]
