toucanbackend: split the tests of repeated refusals and cut responses

Both had a server, the calls and the checks in one function, up to seven levels deep. The servers are types now.

--- a/toucanbackend/trouble_test.go
+++ b/toucanbackend/trouble_test.go
@@ -80,50 +80,17 @@
 		{"failure", "POST", strings.Replace(responseHead, "200 OK", "500 Internal Server Error", 1) + "Content-Length: 2\r\n\r\nno"},
 		{"refusal", "POST", "HTTP/1.1 503 Busy\r\nX-Request-Id: x\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"},
 	} {
-		for _, kept := range []bool{false, true} { // the response is the second one on its connection
+		for _, kept := range []bool{false, true} {
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/kept=%v/reset=%v", tt.name, kept, reset), func(t *testing.T) {
-					var sent, cut atomic.Int64
-					r, _ := rawServer(t, func(c *net.TCPConn) {
-						in := bufio.NewReader(c)
-						for first := true; ; first = false {
-							if _, err := http.ReadRequest(in); err != nil {
-								return
-							}
-							if kept && first {
-								io.WriteString(c, strings.Replace(responseHead, ": x", ": first", 1)+"Content-Length: 2\r\n\r\nok")
-								continue
-							}
-							break
-						}
-						cut.Add(1)
-						io.WriteString(c, tt.response[:sent.Load()])
-						if reset {
-							time.Sleep(2 * time.Millisecond) // lets the bytes arrive before the reset discards them
-							c.SetLinger(0)
-						}
-					})
-					endsWithConn := strings.HasPrefix(tt.name, "no_length")
-					for n := range len(tt.response) {
-						if endsWithConn && !reset && n >= strings.Index(tt.response, "\r\n\r\n")+4 {
-							break // without a length, a connection that ends in order ends the response
-						}
-						sent.Store(int64(n))
-						if kept {
-							first := newCall("first")
-							if got := freshRun(r, first); got.Outcome != toucancall.Answered {
-								t.Fatalf("the first call on the connection has outcome %s", got.Outcome)
-							}
-						}
-						c := newCall("x")
-						c.Method = tt.method
-						got := freshRun(r, c)
-						if got.Outcome != toucancall.Unknown {
-							t.Fatalf("%d of %d bytes: outcome %s, status %d and body %q", n, len(tt.response), got.Outcome, got.Status, got.Body)
-						}
-						if cut.Load() != int64(n+1) {
-							t.Fatalf("%d of %d bytes: the server had %d calls, want %d", n, len(tt.response), cut.Load(), n+1)
-						}
+					s := &cuttingServer{response: tt.response, kept: kept, reset: reset}
+					r, _ := rawServer(t, s.serve)
+					end := len(tt.response)
+					if strings.HasPrefix(tt.name, "no_length") && !reset {
+						end = strings.Index(tt.response, "\r\n\r\n") + 4 // from there on, the end of the connection ends the response
+					}
+					for n := range end {
+						s.checkCut(t, r, tt.method, n)
 					}
 				})
 			}
@@ -131,6 +98,56 @@
 	}
 }
 
+// cuttingServer closes each connection in the middle of a response.
+type cuttingServer struct {
+	response string
+	kept     bool // the response is the second one on its connection, behind a whole one
+	reset    bool // the connection is reset
+
+	size      atomic.Int64 // bytes of the response that are written
+	responses atomic.Int64 // that were cut
+}
+
+func (s *cuttingServer) serve(c *net.TCPConn) {
+	in := bufio.NewReader(c)
+	if _, err := http.ReadRequest(in); err != nil {
+		return
+	}
+	if s.kept {
+		io.WriteString(c, strings.Replace(responseHead, ": x", ": first", 1)+"Content-Length: 2\r\n\r\nok")
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+	}
+	s.responses.Add(1)
+	io.WriteString(c, s.response[:s.size.Load()])
+	if s.reset {
+		time.Sleep(2 * time.Millisecond) // lets the bytes arrive before the reset discards them
+		c.SetLinger(0)
+	}
+}
+
+// checkCut checks that the outcome of a call is unknown whose response is cut after size
+// bytes.
+func (s *cuttingServer) checkCut(t *testing.T, r *toucanbackend.Runner, method string, size int) {
+	t.Helper()
+	s.size.Store(int64(size))
+	if s.kept {
+		if got := freshRun(r, newCall("first")); got.Outcome != toucancall.Answered {
+			t.Fatalf("the first call on the connection has outcome %s", got.Outcome)
+		}
+	}
+	c := newCall("x")
+	c.Method = method
+	got := freshRun(r, c)
+	if got.Outcome != toucancall.Unknown {
+		t.Fatalf("%d of %d bytes: outcome %s, status %d and body %q", size, len(s.response), got.Outcome, got.Status, got.Body)
+	}
+	if s.responses.Load() != int64(size+1) {
+		t.Fatalf("%d of %d bytes: the server had %d calls, want %d", size, len(s.response), s.responses.Load(), size+1)
+	}
+}
+
 // freshRun runs a call whose id may have run before, by forgetting that run.
 func freshRun(r *toucanbackend.Runner, c *toucanpeer.Call) toucanpeer.Result {
 	r.Forget(c.ID)
