toucanentry: a check of the shutdown that does not change its argument

accepts read as a question and set the deadline of the request. limitToShutdown returns the deadline. The set-up of the test of outcomes is three functions.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -82,28 +82,25 @@
 	e.shutdown.Store(&shutdown{end: end, idle: idle})
 }
 
-// accepts reports whether the entry takes a new request. One that may last beyond the
-// end of the node is taken only if it may run again and requests of its route have been
-// answered in the time that is left; it gets an earlier deadline.
-func (e *Entry) accepts(q *request) bool {
+// limitToShutdown returns the deadline of a new request, and whether the entry takes the
+// request. One that may last beyond the end of the node is taken only if it may run again
+// and requests of its route have been answered in the time that is left; it gets an earlier
+// deadline.
+func (e *Entry) limitToShutdown(q *request) (deadline time.Time, ok bool) {
 	s := e.shutdown.Load()
 	if s == nil {
-		return true
+		return q.deadline, true
 	}
 	latest := s.end.Add(-outcomeGrace)
 	switch {
 	case s.idle(), q.Pipelined: // the response before it may be late
-		return false
+		return q.deadline, false
 	case !q.deadline.After(latest):
-		return true
+		return q.deadline, true
 	}
 	longest := e.Fleet.LongestDuration(q.route.Name)
 	needed := max(q.route.Target, time.Duration(durationMargin*float64(longest)))
-	if !q.route.Repeatable || longest == 0 || latest.Sub(e.Clock.Now()) < needed {
-		return false
-	}
-	q.deadline = latest
-	return true
+	return latest, q.route.Repeatable && longest > 0 && latest.Sub(e.Clock.Now()) >= needed
 }
 
 // Metrics records the status and duration of each request and the result of each
@@ -189,12 +186,12 @@
 		}
 	}
 	q.deadline = q.Arrived.Add(remaining)
-	if !e.accepts(q) {
+	var ok bool
+	if q.deadline, ok = e.limitToShutdown(q); !ok {
 		q.reason = toucancall.ReasonLeaving
 		return e.refuse(q, defaultRetryAfter)
 	}
 	q.service = e.Splitter.NextService(q.route)
-	var ok bool
 	if ok, q.admittedShare, q.pressure = e.throttle.admit(q.route, q.service, e.Clock.Now()); !ok {
 		q.reason = reasonThrottled
 		return e.refuse(q, e.retryAfter(q.route))
--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -100,9 +100,33 @@
 	runner := toucanbackend.NewRunner(toucanbackend.Options{
 		Clock: clock, Log: log, Bodies: &toucanmemory.Budget{}, OnChange: func(toucanbackend.Server) {},
 	})
+	fleet, nodes := newScriptedFleet(t, runner, count)
+	e := &Entry{
+		Names: toucanbackend.HeaderNames{RequestID: "X-Request-Id"}, Clock: clock, Log: log, Fleet: fleet, Runner: runner,
+		Splitter: toucanroute.NewSplitter(), RetryBudget: toucanretry.NewBudget(clock, 10*time.Second, 1, 100),
+		Service: func() string { return "desk" }, Metrics: noMetrics{},
+	}
+	route := func(name string, repeatable bool) toucanroute.Route {
+		return toucanroute.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Repeatable: repeatable, MaxServers: 8,
+			Shares: []toucanroute.Share{{Service: "orders", Weight: 1}}, Timeout: 2 * time.Second, Target: time.Second,
+		}
+	}
+	table, err := toucanroute.NewTable(1, []toucanroute.Route{route("once", false), route("read", true)}, []string{"orders"}, toucanroute.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Table.Store(table)
+	return e, nodes
+}
+
+// newScriptedFleet returns the fleet of an entry that is connected to count scripted nodes.
+func newScriptedFleet(t *testing.T, local toucanfleet.LocalReporter, count int) (*toucanfleet.Fleet, *scriptedNodes) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
 	self := toucanpeer.Member{Node: "entry", Address: "127.0.0.1:1", DataCentre: "dc", Service: "desk"}
 	fleet := toucanfleet.New(toucanfleet.Options{
-		Clock: clock, Log: log, Self: self, Local: runner,
+		Clock: toucanclock.System{}, Log: log, Self: self, Local: local,
 		Hello:           func(bool) toucanpeer.Hello { return toucanpeer.Hello{From: self} },
 		Ping:            func() toucanpeer.Ping { return toucanpeer.Ping{} },
 		Version:         func() uint64 { return 0 },
@@ -112,46 +136,36 @@
 	})
 	nodes := new(scriptedNodes)
 	for i := range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		m := toucanpeer.Member{
-			Node: fmt.Sprintf("n%d", i), Address: l.Addr().String(), DataCentre: "dc", Service: "orders", Instance: fmt.Sprintf("i%d", i), Serving: true, Slots: 20,
-		}
-		go toucanpeer.Serve(l, &scriptedNode{scriptedNodes: nodes, member: m}, log)
-		fleet.PutListed(m)
+		fleet.PutListed(nodes.start(t, fmt.Sprintf("n%d", i)))
 	}
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop); fleet.Close() })
 	go fleet.Run(stop)
-	for began := time.Now(); countConnected(fleet, "orders") < count; time.Sleep(5 * time.Millisecond) {
+	for began := time.Now(); countUsable(fleet, "orders") < count; time.Sleep(5 * time.Millisecond) {
 		if time.Since(began) > 5*time.Second {
-			t.Fatalf("only %d of %d nodes are connected", countConnected(fleet, "orders"), count)
-		}
-	}
-	e := &Entry{
-		Names: toucanbackend.HeaderNames{RequestID: "X-Request-Id"}, Clock: clock, Log: log, Fleet: fleet, Runner: runner,
-		Splitter: toucanroute.NewSplitter(), RetryBudget: toucanretry.NewBudget(clock, 10*time.Second, 1, 100),
-		Service: func() string { return "desk" }, Metrics: noMetrics{},
-	}
-	route := func(name string, repeatable bool) toucanroute.Route {
-		return toucanroute.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Repeatable: repeatable, MaxServers: 8,
-			Shares: []toucanroute.Share{{Service: "orders", Weight: 1}}, Timeout: 2 * time.Second, Target: time.Second,
+			t.Fatalf("only %d of %d nodes are connected", countUsable(fleet, "orders"), count)
 		}
 	}
-	table, err := toucanroute.NewTable(1, []toucanroute.Route{route("once", false), route("read", true)}, []string{"orders"}, toucanroute.Limits{})
+	return fleet, nodes
+}
+
+// start starts a node of the service orders and returns its member record.
+func (s *scriptedNodes) start(t *testing.T, name string) toucanpeer.Member {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.Table.Store(table)
-	return e, nodes
+	t.Cleanup(func() { l.Close() })
+	m := toucanpeer.Member{
+		Node: name, Address: l.Addr().String(), DataCentre: "dc", Service: "orders", Instance: "i-" + name, Serving: true, Slots: 20,
+	}
+	go toucanpeer.Serve(l, &scriptedNode{scriptedNodes: s, member: m}, slog.New(slog.DiscardHandler))
+	return m
 }
 
-// countConnected returns the number of members of a service that can be chosen.
-func countConnected(f *toucanfleet.Fleet, service string) int {
+// countUsable returns the number of members of a service that can be chosen.
+func countUsable(f *toucanfleet.Fleet, service string) int {
 	var excluded []string
 	for {
 		target, ok := f.Choose(service, "", time.Second, excluded)
