--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -56,7 +56,7 @@
 // node is the state that this node keeps of one member.
 type node struct {
 	member       toucanpeer.Member
-	told         bool              // the node itself sent this member record
+	firsthand    bool              // the node itself sent this member record
 	lastDeparted toucanpeer.Member // last record of a backend server that left for good (Left is set)
 	link         *toucanpeer.Link  // nil for this node itself
 	connected    bool
@@ -106,7 +106,7 @@
 	}
 	n := &node{connected: true, listed: true}
 	f.nodes[o.Self.Address] = n
-	f.setTold(n, o.Self)
+	f.setFirsthand(n, o.Self)
 	return f
 }
 
@@ -116,7 +116,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.self = m
-	f.setTold(f.nodes[m.Address], m)
+	f.setFirsthand(f.nodes[m.Address], m)
 }
 
 // SetListed replaces the set of listed members by the members in the store.
@@ -204,7 +204,7 @@
 	if n == nil {
 		n = f.addNode(m)
 	}
-	f.setTold(n, m)
+	f.setFirsthand(n, m)
 	n.lastSeen = f.clock.Now()
 }
 
@@ -258,7 +258,7 @@
 		return toucanpeer.Member{}
 	case n.lastDeparted.Left && (n.member.Instance == "" || n.member.Instance == n.lastDeparted.Instance && n.member.Born == n.lastDeparted.Born):
 		return n.lastDeparted
-	case !n.told:
+	case !n.firsthand:
 		return toucanpeer.Member{}
 	}
 	return n.member
@@ -322,11 +322,11 @@
 	return n
 }
 
-// setTold replaces the member record of a node by the one that it sent itself. f.mu must
+// setFirsthand replaces the member record of a node by the one that it sent itself. f.mu must
 // be held.
-func (f *Fleet) setTold(n *node, m toucanpeer.Member) {
+func (f *Fleet) setFirsthand(n *node, m toucanpeer.Member) {
 	f.setMember(n, m)
-	n.told = true
+	n.firsthand = true
 }
 
 // setMember replaces the member record of a node. f.mu must be held.
@@ -334,7 +334,7 @@
 	if n.member == m {
 		return
 	}
-	n.told = false
+	n.firsthand = false
 	if n.member.Instance != m.Instance || n.member.Born != m.Born {
 		n.stats = memberStats{}
 	}
--- a/toucanfleet/links.go
+++ b/toucanfleet/links.go
@@ -100,7 +100,7 @@
 		return
 	}
 	n.connected, n.unreachable, n.lastSeen = true, false, f.clock.Now()
-	f.setTold(n, reply.Self)
+	f.setFirsthand(n, reply.Self)
 	n.setReport(reply.Report, f.clock.Now())
 	link, sameDC := n.link, n.member.DataCentre == f.self.DataCentre
 	for _, m := range reply.Members {
@@ -137,7 +137,7 @@
 	now := f.clock.Now()
 	n.lastSeen = now
 	if self != nil {
-		f.setTold(n, *self)
+		f.setFirsthand(n, *self)
 	}
 	n.setReport(r, now)
 	link, sameDC := n.link, n.member.DataCentre == f.self.DataCentre
