--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -116,28 +116,29 @@
 	m := s.startNode("a", "orders")
 	m.awaitServed("/order/")
 	for _, tt := range []struct {
+		name   string
 		status int
 		field  string // of the response, beside those of head
 		want   int
 	}{
-		{503, "", 502},
-		{429, "", 502},
-		{408, "", 502},
-		{503, "Retry-After: 1\r\n", 502},
-		{503, "X-Not-Executed: 1\r\n", 503},
-		{429, "X-Not-Executed: 1\r\n", 503},
-		{421, "", 503},
-		{500, "", 500},
-		{404, "", 404},
+		{"unavailable", 503, "", 502},
+		{"too_many", 429, "", 502},
+		{"timeout", 408, "", 502},
+		{"unavailable_retry_after", 503, "Retry-After: 1\r\n", 502},
+		{"unavailable_not_run", 503, "X-Not-Executed: 1\r\n", 503},
+		{"too_many_not_run", 429, "X-Not-Executed: 1\r\n", 503},
+		{"misdirected", 421, "", 503},
+		{"failure", 500, "", 500},
+		{"not_found", 404, "", 404},
 	} {
 		for _, request := range []struct{ method, path string }{{"POST", "/order/1"}, {"GET", "/read/1"}} {
-			t.Run(fmt.Sprintf("%s_%d_%d", request.method, tt.status, len(tt.field)), func(t *testing.T) {
+			t.Run(tt.name+"/"+request.method, func(t *testing.T) {
 				is := is.New(t)
 				m.sendHeartbeat("ready", http.StatusOK) // after 421 the node waits for a heartbeat
 				m.backend.SetAnswer(func(w io.Writer, r *http.Request) {
 					fmt.Fprintf(w, head+tt.field+"\r\nno", tt.status, r.Header.Get("X-Request-Id"))
 				})
-				got := m.send(request.method, request.path, t.Name()[strings.LastIndexByte(t.Name(), '/')+1:])
+				got := m.send(request.method, request.path, tt.name+request.method)
 				is.NoErr(got.err)
 				is.Equal(got.status, tt.want)
 				if got.status != tt.status { // the status is not the one that the signature is for
--- a/toucanmesh/reload_test.go
+++ b/toucanmesh/reload_test.go
@@ -41,8 +41,7 @@
 	{"log_level", `"ERROR"`, false},
 }
 
-// The node used to end with a panic, or to be listed under a name and an address that
-// it did not have.
+// A running node must not take a name or an address from its file that it does not have.
 func TestReloadKeepsIdentityOfRunningNode(t *testing.T) {
 	for _, tt := range reloadCases {
 		t.Run(tt.field, func(t *testing.T) {
@@ -75,7 +74,7 @@
 	}
 }
 
-// The first check of the file used to take the change for the file that the node had read.
+// A change between the start and the first check of the file must not be missed.
 func TestChangeOfSettingsRightAfterStartTakesEffect(t *testing.T) {
 	s := newDeployment(t, safeRoute())
 	m := s.newNode("a", "orders")
