--- a/cmd/toucanhaven/reload_test.go
+++ b/cmd/toucanhaven/reload_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// A SIGTERM that came during a reload used to wait for its end.
+// A reload that does not end must not delay the stop.
 func TestStopDuringReloadThatHangs(t *testing.T) {
 	is := is.New(t)
 	s := newEmptyDeployment(t, 1)
--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -472,7 +472,7 @@
 		s.t.Errorf("only %d requests were served", s.served)
 	}
 	for id, r := range s.results {
-		runs := -s.refusals[id]
+		runs := -s.refusals[id] // the backend servers count requests before they refuse them
 		for _, n := range s.nodes {
 			runs += n.backend.Runs(id)
 		}
