toucanmesh: a departure in an outage of the store binds after all processes end

Cause: a node that restarted took "the store has no departure", or the agreement of two peers, for a proof that its server had not left. After an outage neither is one: the record was never written, and whoever remembered has ended. So a departure could only be refused.

The store and other nodes can only add departures. With that a departure is acknowledged as soon as two other nodes remember it, if the store has not taken it after 0.3 s; they protect from heartbeats that arrive late.

--- /dev/null
+++ b/toucanbackend/health.go
@@ -0,0 +1,51 @@
+package toucanbackend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// healthTimeout limits a health check. The check waits for a slot like any other request.
+const healthTimeout = time.Second
+
+var errNoInstanceID = errors.New("response has no instance id header")
+
+// CheckHealth makes one health check of the server at an address, on a connection of its
+// own. It returns the id of the server if that answers with status 200, which says that
+// it is not about to leave, and an error otherwise.
+func (r *Runner) CheckHealth(ctx context.Context, address, path string) (instance string, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("check the health of %s: %w", address, err)
+		}
+	}()
+	deadline := time.Now().Add(healthTimeout)
+	conn, err := r.pool.Dial(ctx, address, deadline)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return "", err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, address); err != nil {
+		return "", err
+	}
+	conn.LimitHeader()
+	resp, err := http.ReadResponse(conn.R, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return "", err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if instance = resp.Header.Get(r.names.InstanceID); instance == "" {
+		return "", errNoInstanceID
+	}
+	return instance, nil
+}
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -22,6 +22,7 @@
 	RequestID      string
 	DeadlineMillis string // milliseconds until the deadline of the sender
 	TargetInstance string // id of the backend server that must run the request
+	InstanceID     string // id of the backend server, in the response to a health check
 	NotRun         string // set if the backend server did not run the request
 	Signature      string // set on the responses of backend servers
 	CallerService  string // service of the VM where the request originated
--- a/toucanentry/outcome_test.go
+++ b/toucanentry/outcome_test.go
@@ -77,6 +77,7 @@
 func (n *scriptedNode) UpdateMembers(toucanpeer.MemberUpdate) {}
 
 func (n *scriptedNode) RecordDeparture(context.Context, toucanpeer.Departure) bool { return false }
+func (n *scriptedNode) WitnessDeparture(toucanpeer.Departure) bool                 { return false }
 
 func (n *scriptedNode) Document() toucanpeer.Document { return toucanpeer.Document{} }
 
@@ -132,7 +133,7 @@
 		Version:         func() uint64 { return 0 },
 		OnNewerDocument: func(uint64, *toucanpeer.Link, bool) {},
 		OnLinkUp:        func(*toucanpeer.Link, bool) {},
-		OnSelfRecord:    func(string, toucanpeer.Member) {},
+		OnReply:         func(toucanpeer.HelloReply) {},
 	})
 	nodes := new(scriptedNodes)
 	for i := range count {
--- a/toucanfleet/fleet.go
+++ b/toucanfleet/fleet.go
@@ -37,12 +37,12 @@
 	onLinkUp        func(link *toucanpeer.Link, sameDC bool)
 	local           LocalReporter
 
-	mu           sync.Mutex
-	self         toucanpeer.Member
-	nodes        map[string]*node // by peer address
-	byService    map[string][]*node
-	routes       map[string]routeStats
-	onSelfRecord func(addr string, m toucanpeer.Member) // takes the record that another node has of this one
+	mu        sync.Mutex
+	self      toucanpeer.Member
+	nodes     map[string]*node // by peer address
+	byService map[string][]*node
+	routes    map[string]routeStats
+	onReply   func(toucanpeer.HelloReply)
 
 	extraLinks      map[string]extraLinks // by service
 	linksDue        bool                  // the wanted links must be selected again
@@ -58,6 +58,7 @@
 	member       toucanpeer.Member
 	firsthand    bool              // the node itself sent this member record
 	lastDeparted toucanpeer.Member // last record of a backend server that left for good (Left is set)
+	lastServer   toucanpeer.Member // last record that the node sent of a backend server, unless that left
 	link         *toucanpeer.Link  // nil for this node itself
 	connected    bool
 	unreachable  bool      // the link went down and is not connected again
@@ -89,17 +90,16 @@
 	OnNewerDocument func(version uint64, link *toucanpeer.Link, sameDC bool)
 	// OnLinkUp is called when a link connects.
 	OnLinkUp func(link *toucanpeer.Link, sameDC bool)
-	// OnSelfRecord is called, when a link connects, with the record that the
-	// other node has of this one.
-	OnSelfRecord func(addr string, m toucanpeer.Member)
-	Local        LocalReporter
+	// OnReply is called, when a link connects, with the other node's reply to the hello.
+	OnReply func(toucanpeer.HelloReply)
+	Local   LocalReporter
 }
 
 // New returns a fleet whose only member is this node.
 func New(o Options) *Fleet {
 	f := &Fleet{
 		clock: o.Clock, log: o.Log, hello: o.Hello, ping: o.Ping, documentVersion: o.Version, onNewerDocument: o.OnNewerDocument,
-		onLinkUp: o.OnLinkUp, local: o.Local, onSelfRecord: o.OnSelfRecord,
+		onLinkUp: o.OnLinkUp, local: o.Local, onReply: o.OnReply,
 		self: o.Self, nodes: make(map[string]*node), byService: make(map[string][]*node),
 		routes: make(map[string]routeStats), extraLinks: make(map[string]extraLinks), started: o.Clock.Now(),
 		nodeAdded: make(chan struct{}, 1),
@@ -246,7 +246,8 @@
 
 // LastKnown returns the record of the node at a peer address, for a node that has
 // restarted and lost its own state. If the backend server left and no new start
-// of it is known, LastKnown returns the record of the departure. It returns the
+// of it is known, LastKnown returns the record of the departure. If the node has no
+// server any more, it returns the record of the last one. It returns the
 // zero Member for an unknown address and if the node has not sent its record itself:
 // the store may list it as it was before its backend server left.
 func (f *Fleet) LastKnown(address string) toucanpeer.Member {
@@ -256,7 +257,11 @@
 	switch {
 	case n == nil:
 		return toucanpeer.Member{}
-	case n.lastDeparted.Left && (n.member.Instance == "" || n.member.Instance == n.lastDeparted.Instance && n.member.Born == n.lastDeparted.Born):
+	case n.lastDeparted.Left && sameStart(n.member, n.lastDeparted):
+		return n.lastDeparted
+	case n.member.Instance == "" && n.lastServer.Instance != "":
+		return n.lastServer
+	case n.member.Instance == "":
 		return n.lastDeparted
 	case !n.firsthand:
 		return toucanpeer.Member{}
@@ -327,6 +332,9 @@
 func (f *Fleet) setFirsthand(n *node, m toucanpeer.Member) {
 	f.setMember(n, m)
 	n.firsthand = true
+	if m.Instance != "" && !m.Left {
+		n.lastServer = m
+	}
 }
 
 // setMember replaces the member record of a node. f.mu must be held.
@@ -352,9 +360,15 @@
 	f.linksDue = true
 	if m.Left {
 		n.lastDeparted = m
+		if sameStart(m, n.lastServer) {
+			n.lastServer = toucanpeer.Member{}
+		}
 	}
 }
 
+// sameStart reports whether two records are of the same start of a backend server.
+func sameStart(a, b toucanpeer.Member) bool { return a.Instance == b.Instance && a.Born == b.Born }
+
 func (f *Fleet) removeFromService(n *node) {
 	list := f.byService[n.member.Service]
 	for i, other := range list {
--- a/toucanfleet/links.go
+++ b/toucanfleet/links.go
@@ -22,6 +22,9 @@
 	// departureRecorders is the number of nodes that are asked at a time to record a
 	// departure. One of them may have just lost the store.
 	departureRecorders = 2
+	// witnessesAsked is the number of nodes that are asked at a time to remember a
+	// departure.
+	witnessesAsked = 4
 )
 
 // Announce sends the state of this node to all connected nodes and waits until they have
@@ -51,6 +54,26 @@
 	return false
 }
 
+// WitnessDeparture asks some connected nodes to remember a departure. It reports whether
+// at least want of them answer before ctx ends that they do.
+func (f *Fleet) WitnessDeparture(ctx context.Context, d toucanpeer.Departure, want int) bool {
+	links := f.connectedLinks(false)
+	links = links[:min(len(links), witnessesAsked)]
+	kept := make(chan bool, len(links))
+	for _, l := range links {
+		go func() { kept <- l.WitnessDeparture(ctx, d) }()
+	}
+	for range links {
+		if <-kept {
+			want--
+		}
+		if want <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // linksToStore returns at most count links to connected nodes that reach the store.
 func (f *Fleet) linksToStore(count int) (links []*toucanpeer.Link) {
 	f.mu.Lock()
@@ -110,7 +133,7 @@
 	}
 	f.mu.Unlock()
 	f.log.Info("peer connected", "node", reply.Self.Node, "address", addr, "version", reply.Report.Version)
-	f.onSelfRecord(addr, reply.You)
+	f.onReply(reply)
 	f.onLinkUp(link, sameDC)
 	f.checkDocumentVersion(reply.Report, link, sameDC)
 }
--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -238,3 +238,105 @@
 	time.Sleep(2 * time.Second) // the time within which a member is listed after an outage
 	expectNoCalls(t, entry, home, time.Second)
 }
+
+// A departure in an outage of the store must be acknowledged in time, and must bind after the
+// processes of all nodes have ended, whether or not the server answers health checks and
+// whether or not a heartbeat from before its departure arrives late.
+func TestDepartureInStoreOutageBinds(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.Busy, platformtest.Unresponsive} {
+		for _, healthCheck := range []bool{true, false} {
+			for _, late := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/health_check=%v/late=%v", fault, healthCheck, late), func(t *testing.T) {
+					is := is.New(t)
+					s := newDeployment(t, safeRoute())
+					nodes := []*testNode{s.startNode("a", "stock"), s.startNode("b", "orders"), s.startNode("c", "stock"), s.startNode("d", "orders")}
+					entry, home, other := nodes[0], nodes[1], nodes[3]
+					entry.awaitServed("/read/")
+					if !healthCheck {
+						home.backend.DisableHealthCheck()
+					}
+					s.store.SetFault(fault)
+					began := time.Now()
+					home.awaitDeparture()
+					is.True(time.Since(began) < ackTime)
+					for _, m := range nodes {
+						m.kill()
+					}
+					s.store.SetFault(platformtest.Healthy)
+					for _, m := range nodes {
+						m.run()
+					}
+					if late {
+						home.sendHeartbeat("ready", http.StatusOK)
+					}
+					other.sendHeartbeat("ready", http.StatusOK)
+					entry.awaitServed("/read/")
+					expectNoCalls(t, entry, home, 2*time.Second)
+				})
+			}
+		}
+	}
+}
+
+// While the store is down, other nodes must remind a restarted node of a departure, so that
+// heartbeats that arrive late do not put the server into use.
+func TestOtherNodesRemindOfDeparture(t *testing.T) {
+	s := newDeployment(t, safeRoute())
+	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+	s.startNode("c", "stock")
+	s.startNode("d", "stock")
+	entry.awaitServed("/read/")
+	instance, born := home.backend.Instance, home.backend.Born
+	home.backend.Restart("i-new") // the node does not know this start
+	s.store.SetFault(platformtest.Busy)
+	home.awaitDeparture()
+	newInstance, newBorn := home.backend.Instance, home.backend.Born
+	home.backend.Instance, home.backend.Born = instance, born
+	home.kill()
+	home.run()
+	home.backend.Instance, home.backend.Born = newInstance, newBorn
+	for range 3 {
+		home.sendHeartbeat("ready", http.StatusOK)
+		time.Sleep(home.settings.Heartbeat.Duration)
+	}
+	expectNoCalls(t, entry, home, 500*time.Millisecond)
+}
+
+// A restarted node must use its server again without a heartbeat once a health check shows
+// that the server takes calls, and otherwise only after a heartbeat that was sent since.
+func TestRestartedNodeProvesItsServer(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		fault       platformtest.Fault // of the store when the node starts again
+		healthCheck bool
+	}{
+		{"store", platformtest.Healthy, true},
+		{"store_down", platformtest.Busy, true},
+		{"no_health_check", platformtest.Healthy, false},
+		{"store_down_no_health_check", platformtest.Busy, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newDeployment(t, safeRoute())
+			entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+			entry.awaitServed("/read/")
+			if !tt.healthCheck {
+				home.backend.DisableHealthCheck()
+			}
+			checks := home.backend.HealthChecks()
+			home.kill()
+			s.store.SetFault(tt.fault)
+			home.run()
+			if tt.healthCheck {
+				entry.awaitServed("/read/")
+				is.Equal(home.backend.HealthChecks(), checks+1)
+				return
+			}
+			home.sendHeartbeat("ready", http.StatusOK)
+			expectNoCalls(t, entry, home, home.settings.Heartbeat.Duration)
+			home.sendHeartbeat("ready", http.StatusOK)
+			entry.awaitServed("/read/")
+			is.True(home.backend.HealthChecks()-checks <= 8) // four for each start of the node and of the server
+		})
+	}
+}
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -44,6 +44,7 @@
 	n := (*Node)(h)
 	reply := toucanpeer.HelloReply{
 		Self: n.selfMember(), Incarnation: n.incarnation, Report: h.Report(), You: n.fleet.LastKnown(hello.From.Address),
+		Departures: n.witnessed.list(hello.From.Node, n.clock.Now()),
 	}
 	if hello.WantMembers {
 		reply.Members = n.fleet.Members()
@@ -77,6 +78,14 @@
 	return err == nil
 }
 
+// WitnessDeparture remembers the departure of the backend server of another node, which
+// gets it back when it connects after a restart.
+func (h *peerHandler) WitnessDeparture(d toucanpeer.Departure) bool {
+	kept := h.witnessed.add(d, h.clock.Now())
+	h.log.Info("departure witnessed", "node", d.Node, "instance", d.Instance, "born", d.Born, "kept", kept)
+	return kept
+}
+
 // newPing returns a ping that describes this node.
 func (n *Node) newPing() toucanpeer.Ping {
 	self := n.selfMember()
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -96,6 +96,7 @@
 	member    registration
 	startup   startupState
 	recording recording
+	witnessed witnessedDepartures
 	metrics   *meter
 	dropped   func() uint64
 
@@ -127,12 +128,13 @@
 		RetryBudget:  n.retryBudget(backendRetryRatioShare, backendRetrySlackShare),
 		CountServing: func(service string) int { return n.fleet.CountServing(service) },
 	})
+	n.startup.changed = make(chan struct{}, 1)
 	n.member.wakeup, n.member.oddEntries = make(chan struct{}, 1), make(map[string]uint64)
-	n.recording.started = make(map[departure]chan struct{})
+	n.recording.started = make(map[departure]*recordedDeparture)
 	n.fleet = toucanfleet.New(toucanfleet.Options{
 		Clock: o.Clock, Log: o.Log, Self: n.selfMember(), Hello: n.newHello, Version: n.configVersion,
 		Ping:            n.newPing,
-		OnNewerDocument: n.fetchConfig, OnLinkUp: n.pushAllMembers, OnSelfRecord: n.handlePeerReport, Local: (*peerHandler)(n),
+		OnNewerDocument: n.fetchConfig, OnLinkUp: n.pushAllMembers, OnReply: n.handlePeerReply, Local: (*peerHandler)(n),
 	})
 	n.entry = &toucanentry.Entry{
 		Names: o.Platform.Headers, Clock: o.Clock, Log: o.Log, Fleet: n.fleet, Runner: n.runner,
@@ -191,6 +193,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-n.stop; cancel() }()
 	go func() { n.recoverState(ctx); n.register(ctx) }()
+	go n.proveServer(ctx)
 	go n.followConfig(ctx)
 	go n.followMembers(ctx)
 	go n.pollSettings()
--- a/toucanmesh/recording.go
+++ b/toucanmesh/recording.go
@@ -26,6 +26,12 @@
 	departureAckTimeout = 800 * time.Millisecond
 	// departureWriteTimeout limits one attempt to record a departure.
 	departureWriteTimeout = 2 * time.Second
+	// departureStoreTime is the time that the store has to take a departure before other
+	// nodes are asked to remember it. minWitnesses is the number of nodes that must.
+	departureStoreTime = 300 * time.Millisecond
+	minWitnesses       = 2
+	witnessTimeout     = 250 * time.Millisecond
+	witnessRetryDelay  = 200 * time.Millisecond
 	// departureRetryDelay is the delay after a failed attempt to record a departure.
 	departureRetryDelay = 700 * time.Millisecond
 )
@@ -33,7 +39,15 @@
 // recording holds the departures that this node has started to record.
 type recording struct {
 	mu      sync.Mutex
-	started map[departure]chan struct{} // closed when the store has the departure
+	started map[departure]*recordedDeparture
+}
+
+// recordedDeparture is a departure that this node records.
+type recordedDeparture struct {
+	departure
+	stored    chan struct{} // closed when the store has it
+	witnessed chan struct{} // closed when other nodes remember it
+	failed    chan struct{} // closed when the first attempt to store it has failed
 }
 
 // departure identifies one start of a backend server that has left. The record of a
@@ -43,53 +57,94 @@
 	Born     int64  `json:"born"`
 }
 
-// recordDeparture waits until the store has a departure. It returns an error if that
-// takes too long; the departure must not be acknowledged then, because only the store
-// outlives the processes of all nodes. The attempts to record it go on.
+// recordDeparture waits until a departure binds: the store has it or, while the store does
+// not take it, other nodes remember it. It returns an error if that takes too long; the
+// departure must not be acknowledged then. The attempts to record it go on.
+//
+// What other nodes remember ends with their processes. After that this node still does not
+// use the server again, because only the server itself can show that it takes calls; see
+// startupState.
 func (n *Node) recordDeparture(d departure) error {
 	t := time.NewTimer(departureAckTimeout)
 	defer t.Stop()
+	r := n.startRecording(d)
 	select {
-	case <-n.startRecording(d):
+	case <-r.stored:
+		return nil
+	case <-r.witnessed:
 		return nil
 	case <-t.C:
 		return fmt.Errorf("departure of server %s born %d is not recorded after %v", d.Instance, d.Born, departureAckTimeout)
 	}
 }
 
-// startRecording starts to record a departure unless that was started before. It returns
-// a channel that is closed when the store has the departure.
-func (n *Node) startRecording(d departure) <-chan struct{} {
+// startRecording starts to record a departure unless that was started before.
+func (n *Node) startRecording(d departure) *recordedDeparture {
 	n.recording.mu.Lock()
 	defer n.recording.mu.Unlock()
-	if recorded, ok := n.recording.started[d]; ok {
-		return recorded
+	if r := n.recording.started[d]; r != nil {
+		return r
 	}
-	recorded := make(chan struct{})
-	n.recording.started[d] = recorded
-	go n.keepRecording(d, recorded)
-	return recorded
+	r := &recordedDeparture{departure: d, stored: make(chan struct{}), witnessed: make(chan struct{}), failed: make(chan struct{})}
+	n.recording.started[d] = r
+	go n.keepRecording(r)
+	go n.keepWitnessed(r)
+	return r
 }
 
 // keepRecording tries to record a departure until that succeeds or the departure no
 // longer matters.
-func (n *Node) keepRecording(d departure, recorded chan struct{}) {
+func (n *Node) keepRecording(r *recordedDeparture) {
 	end := n.clock.Now().Add(departureTTL)
-	for n.clock.Now().Before(end) {
-		byPeer, err := n.tryRecord(d)
-		n.log.Info("departure", "instance", d.Instance, "born", d.Born, "stored", err == nil, "by_peer", byPeer, "err", err)
+	for first := true; n.clock.Now().Before(end); first = false {
+		byPeer, err := n.tryRecord(r.departure)
+		n.log.Info("departure", "instance", r.Instance, "born", r.Born, "stored", err == nil, "by_peer", byPeer, "err", err)
 		if err == nil {
-			close(recorded)
-			time.AfterFunc(departureTTL, func() { n.endRecording(d) })
+			close(r.stored)
+			time.AfterFunc(departureTTL, func() { n.endRecording(r.departure) })
 			return
 		}
+		if first {
+			close(r.failed)
+		}
 		select {
 		case <-n.stop:
 			return
 		case <-time.After(departureRetryDelay):
 		}
 	}
-	n.endRecording(d)
+	n.endRecording(r.departure)
+}
+
+// keepWitnessed asks other nodes to remember a departure that the store has not taken at
+// once, until enough do or the store has it.
+func (n *Node) keepWitnessed(r *recordedDeparture) {
+	select {
+	case <-r.failed:
+	case <-time.After(departureStoreTime):
+	case <-r.stored:
+		return
+	}
+	for end := n.clock.Now().Add(departureTTL); n.clock.Now().Before(end); {
+		if n.witnessDeparture(r.departure) {
+			n.log.Info("departure remembered by other nodes", "instance", r.Instance, "born", r.Born)
+			close(r.witnessed)
+			return
+		}
+		select {
+		case <-n.stop:
+			return
+		case <-r.stored:
+			return
+		case <-time.After(witnessRetryDelay):
+		}
+	}
+}
+
+func (n *Node) witnessDeparture(d departure) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
+	defer cancel()
+	return n.fleet.WitnessDeparture(ctx, toucanpeer.Departure{Node: n.settings.Load().Node, Instance: d.Instance, Born: d.Born}, minWitnesses)
 }
 
 func (n *Node) endRecording(d departure) {
--- a/toucanpeer/link.go
+++ b/toucanpeer/link.go
@@ -159,14 +159,24 @@
 // RecordDeparture asks the other node to record a departure in the store. It reports
 // whether the other node answers before ctx ends that the store has it.
 func (l *Link) RecordDeparture(ctx context.Context, d Departure) bool {
+	return l.callDeparture(ctx, methodRecordDeparture, d)
+}
+
+func (l *Link) callDeparture(ctx context.Context, method string, d Departure) bool {
 	l.mu.Lock()
 	client := l.client
 	l.mu.Unlock()
 	if client == nil {
 		return false
 	}
-	var recorded bool // not read after an error: a late reply may be decoded after ctx has ended
-	return call(ctx, client, methodRecordDeparture, d, &recorded) == nil && recorded
+	var done bool // not read after an error: a late reply may be decoded after ctx has ended
+	return call(ctx, client, method, d, &done) == nil && done
+}
+
+// WitnessDeparture asks the other node to remember a departure. It reports whether the
+// other node answers before ctx ends that it does.
+func (l *Link) WitnessDeparture(ctx context.Context, d Departure) bool {
+	return l.callDeparture(ctx, methodWitnessDeparture, d)
 }
 
 // redial starts a connection attempt unless the link is connected or closed, or
--- a/toucanpeer/link_test.go
+++ b/toucanpeer/link_test.go
@@ -30,10 +30,12 @@
 	h.awaits.Add(1)
 	return h.await(q)
 }
-func (h *fakeHandler) Hello(Hello) HelloReply     { return HelloReply{Incarnation: h.incarnation} }
-func (h *fakeHandler) Ping(string, Ping) Pong     { return Pong{} }
-func (h *fakeHandler) UpdateMembers(MemberUpdate) {}
-func (h *fakeHandler) Document() Document         { return Document{} }
+func (h *fakeHandler) Hello(Hello) HelloReply          { return HelloReply{Incarnation: h.incarnation} }
+func (h *fakeHandler) Ping(string, Ping) Pong          { return Pong{} }
+func (h *fakeHandler) UpdateMembers(MemberUpdate)      {}
+func (h *fakeHandler) Document() Document              { return Document{} }
+func (h *fakeHandler) WitnessDeparture(Departure) bool { return false }
+
 func (h *fakeHandler) RecordDeparture(context.Context, Departure) bool {
 	return false
 }
--- a/toucanpeer/server.go
+++ b/toucanpeer/server.go
@@ -29,6 +29,9 @@
 	// RecordDeparture records a departure in the store and reports whether the store
 	// has it.
 	RecordDeparture(ctx context.Context, d Departure) bool
+	// WitnessDeparture remembers a departure for the node beside the backend server, and
+	// reports whether it does.
+	WitnessDeparture(d Departure) bool
 	// Document returns the configuration document in force.
 	Document() Document
 }
@@ -82,15 +85,16 @@
 }
 
 const (
-	serviceName           = "Node"
-	methodRun             = serviceName + ".Run"
-	methodCancel          = serviceName + ".Cancel"
-	methodAwait           = serviceName + ".Await"
-	methodHello           = serviceName + ".Hello"
-	methodPing            = serviceName + ".Ping"
-	methodMembers         = serviceName + ".Members"
-	methodRecordDeparture = serviceName + ".RecordDeparture"
-	methodDocument        = serviceName + ".Document"
+	serviceName            = "Node"
+	methodRun              = serviceName + ".Run"
+	methodCancel           = serviceName + ".Cancel"
+	methodAwait            = serviceName + ".Await"
+	methodHello            = serviceName + ".Hello"
+	methodPing             = serviceName + ".Ping"
+	methodMembers          = serviceName + ".Members"
+	methodRecordDeparture  = serviceName + ".RecordDeparture"
+	methodWitnessDeparture = serviceName + ".WitnessDeparture"
+	methodDocument         = serviceName + ".Document"
 )
 
 // session is the net/rpc receiver of one connection.
@@ -144,6 +148,11 @@
 	return nil
 }
 
+func (s *session) WitnessDeparture(d Departure, kept *bool) error {
+	*kept = s.handler.WitnessDeparture(d)
+	return nil
+}
+
 var errNoHello = errors.New("the connection did not begin with a hello")
 
 func (s *session) Document(_ bool, d *Document) error {
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -85,7 +85,8 @@
 	Incarnation uint64
 	Report      Report
 	Members     []Member
-	You         Member // record that the node has of the sender of the hello; zero if it has none
+	You         Member      // record that the node has of the sender of the hello; zero if it has none
+	Departures  []Departure // departures that the sender of the hello asked the node to remember
 }
 
 // Ping describes the sender.
--- a/toucanroute/table.go
+++ b/toucanroute/table.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -44,6 +45,7 @@
 	Routes  []Route
 	Limits  Limits
 	byHost  map[string][]*Route // longest prefix first
+	health  map[string]string   // path of the health check by service
 }
 
 // maxWeight bounds the weight of a service, so that sums of weights do not overflow.
@@ -137,6 +139,18 @@
 	return nil
 }
 
+// WithHealthPaths returns the table with the paths of the health checks of services. A path
+// that does not begin with a slash is left out.
+func (t *Table) WithHealthPaths(paths map[string]string) *Table {
+	with := *t
+	with.health = maps.Clone(paths)
+	maps.DeleteFunc(with.health, func(_, path string) bool { return !strings.HasPrefix(path, "/") || strings.ContainsAny(path, " \r\n") })
+	return &with
+}
+
+// HealthPath returns the path of the health check of a service, or "" if that is unknown.
+func (t *Table) HealthPath(service string) string { return t.health[service] }
+
 // Match returns the route of the host with the longest prefix that matches the path,
 // or nil if there is none. A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
