toucanpeer: the deadline of the hello does not end a connection that has one

A connection could be closed 2 s after it was opened although its hello had arrived, if nothing more was sent on it meanwhile, as between data centres: the next read could begin, with the deadline of the hello, before the hello was handled. The hello now replaces the deadline also of a read that has begun.

A stopping node takes 0.1 s, not 0.15 s, for its last responses, as its member must be removed within the same reserve.

--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -28,7 +28,7 @@
 	stopReserve = 500 * time.Millisecond
 	// endRequestsTime is the longest time, within stopReserve, in which the last responses are
 	// sent.
-	endRequestsTime = 150 * time.Millisecond
+	endRequestsTime = 100 * time.Millisecond
 )
 
 // Stop shuts the node down gracefully. It drains the callers while the backend
--- a/toucanpeer/link_test.go
+++ b/toucanpeer/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/rpc"
@@ -326,3 +327,30 @@
 		done.Wait()
 	}
 }
+
+// A connection on which nothing is sent after the hello must stay open for longer than a
+// hello may take, and one without a hello must not.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	link := newConnectedLink(t, l, &fakeHandler{})
+	link.mu.Lock()
+	conn := link.conn
+	link.mu.Unlock()
+	began := time.Now()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	c.SetDeadline(began.Add(2 * helloTimeout))
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.True(time.Since(began) >= helloTimeout-100*time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	select {
+	case <-conn.done:
+		t.Errorf("the connection ended after %v: %v", time.Since(began), conn.err())
+	default:
+	}
+	is.True(link.Up())
+}
--- a/toucanpeer/server.go
+++ b/toucanpeer/server.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := rpc.NewServer()
 	conn := &serverConn{Conn: nc, messages: m.reader(nc), opened: time.Now()}
-	if err := s.RegisterName(serviceName, &session{handler: handler, ctx: ctx, greeted: &conn.greeted}); err != nil {
+	if err := s.RegisterName(serviceName, &session{handler: handler, ctx: ctx, greet: conn.greet}); err != nil {
 		panic(err) // the method set is fixed at compile time
 	}
 	newServerCodec(s, conn, func() { time.AfterFunc(orphanedCallTimeout, cancel) }).serve()
@@ -120,7 +120,7 @@
 	handler     Handler
 	ctx         context.Context
 	sentSelf    sentMember
-	greeted     *atomic.Bool           // the hello has arrived
+	greet       func()                 // is called when the hello has arrived
 	fromAddress atomic.Pointer[string] // peer address of the node that opened the connection; nil before its hello
 }
 
@@ -141,7 +141,7 @@
 
 func (s *session) Hello(h Hello, r *HelloReply) error {
 	s.fromAddress.Store(&h.From.Address)
-	s.greeted.Store(true)
+	s.greet()
 	*r = s.handler.Hello(h)
 	return nil
 }
@@ -197,19 +197,36 @@
 	net.Conn
 	messages *toucanmemory.Messages // reads from Conn
 	opened   time.Time
-	greeted  atomic.Bool
+
+	mu      sync.Mutex
+	greeted bool
 }
 
 func (c *serverConn) Read(p []byte) (int, error) {
-	deadline := c.messages.Deadline()
+	c.setReadDeadline(c.messages.Deadline())
+	return c.messages.Read(p)
+}
+
+// setReadDeadline sets the deadline of the next read: that of the current message, if it has
+// one, and otherwise that of the connection.
+func (c *serverConn) setReadDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
-	case !c.greeted.Load():
+	case !c.greeted:
 		deadline = c.opened.Add(helloTimeout)
 	case deadline.IsZero():
 		deadline = time.Now().Add(silenceTimeout)
 	}
 	c.SetReadDeadline(deadline)
-	return c.messages.Read(p)
+}
+
+// greet ends the wait for the hello, also for a read that has begun.
+func (c *serverConn) greet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.greeted = true
+	c.SetReadDeadline(time.Now().Add(silenceTimeout))
 }
 
 func (c *serverConn) Write(p []byte) (int, error) {
