--- a/toucanmemory/message_test.go
+++ b/toucanmemory/message_test.go
@@ -72,3 +72,44 @@
 	endless := io.MultiReader(bytes.NewReader([]byte{0xf0}), bytes.NewReader(make([]byte, 1000))) // a length of 16 bytes
 	is.True(gob.NewDecoder(toucanmemory.NewMessages(endless, b, 1<<20)).Decode(new(sample)) != nil)
 }
+
+// Whatever bytes come, however they are split, they must be read unchanged up to an error, and
+// hold nothing after the end of the stream.
+func FuzzMessages(f *testing.F) {
+	var stream bytes.Buffer
+	enc := gob.NewEncoder(&stream)
+	for _, n := range []int{0, 100, 70_000} {
+		if err := enc.Encode(sample{"s", make([]byte, n)}); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(stream.Bytes(), 5)
+	f.Add([]byte{0xf8, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1}, 1)
+	f.Add([]byte{0xfd, 2, 0, 0, 7}, 2)
+	f.Add([]byte{0x80}, 1)
+	f.Fuzz(func(t *testing.T, data []byte, piece int) {
+		b := toucanmemory.NewBudget(1 << 20)
+		m := toucanmemory.NewMessages(bytes.NewReader(data), b, 1<<20)
+		buf := make([]byte, 1+uint(piece)%5000)
+		var got []byte
+		for {
+			n, err := m.Read(buf)
+			got = append(got, buf[:n]...)
+			if b.Used() > 1<<20 {
+				t.Fatalf("%d bytes held", b.Used())
+			}
+			if err != nil {
+				if err == io.EOF && len(got) != len(data) {
+					t.Fatalf("%d of %d bytes read", len(got), len(data))
+				}
+				break
+			}
+		}
+		if !bytes.HasPrefix(data, got) {
+			t.Fatal("the bytes were changed")
+		}
+		if b.Used() != 0 {
+			t.Fatalf("%d bytes held at the end", b.Used())
+		}
+	})
+}
