toucannode: a header that does not fit into the memory gets no answer of net/http

A caller whose request header did not fit got status 400 from net/http, which has no outcome of a node: nothing says whether the request ran. The connection is closed now, as for any request that was not read.

Evidence: TestHeaderBeyondMemory.

--- a/toucannode/metered.go
+++ b/toucannode/metered.go
@@ -40,7 +40,7 @@
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if err := c.header.Count(p[:n]); err != nil {
-		return 0, err
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err} // net/http answers other errors with 400
 	}
 	return n, err
 }
