--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -310,7 +310,7 @@
 	}
 }
 
-// A departure that the store has not recorded must not be acknowledged.
+// A departure that neither the store nor other nodes remember must not be acknowledged.
 func TestUnrecordedDepartureIsNotAcknowledged(t *testing.T) {
 	s := newDeployment(t, safeRoute())
 	m := s.startNode("a", "orders")
