toucanmesh: the tests of departures in an outage wait until the other nodes are connected

TestDepartureInStoreOutageBinds failed once beside a saturated machine with the race detector: "departure is acknowledged" was not met within 5 s. In a repetition with logs (1 of 10 processes at a time) only one node was connected to the leaving server's when the store went down, as the others had not listed the members yet; two must remember the departure. The tests now wait for that connection; 8 of 8 runs at a time passed.

--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -21,6 +21,19 @@
 	})
 }
 
+// awaitPeers waits until the node is connected to all of the others.
+func (m *testNode) awaitPeers(others ...*testNode) {
+	m.deployment.t.Helper()
+	awaitCondition(m.deployment.t, "the other nodes are connected", func() bool {
+		for _, o := range others {
+			if !strings.Contains(m.deployment.logs.String(), fmt.Sprintf(`event="peer connected" at=%s node=%s `, m.settings.Node, o.settings.Node)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // expectNoCalls fails the test if the backend server of home gets a call within d.
 func expectNoCalls(t *testing.T, entry, home *testNode, d time.Duration) {
 	t.Helper()
@@ -252,6 +265,7 @@
 					nodes := []*testNode{s.startNode("a", "stock"), s.startNode("b", "orders"), s.startNode("c", "stock"), s.startNode("d", "orders")}
 					entry, home, other := nodes[0], nodes[1], nodes[3]
 					entry.awaitServed("/read/")
+					home.awaitPeers(entry, nodes[2], other) // some of them must remember the departure
 					if !healthCheck {
 						home.backend.DisableHealthCheck()
 					}
@@ -283,9 +297,9 @@
 func TestOtherNodesRemindOfDeparture(t *testing.T) {
 	s := newDeployment(t, safeRoute())
 	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
-	s.startNode("c", "stock")
-	s.startNode("d", "stock")
+	others := []*testNode{entry, s.startNode("c", "stock"), s.startNode("d", "stock")}
 	entry.awaitServed("/read/")
+	home.awaitPeers(others...)
 	instance, born := home.backend.Instance, home.backend.Born
 	home.backend.Restart("i-new") // the node does not know this start
 	s.store.SetFault(platformtest.Busy)
