--- a/cmd/toucanhaven/memory_test.go
+++ b/cmd/toucanhaven/memory_test.go
@@ -232,11 +232,32 @@
 
 // serveStore puts a faulty store in place of the sound one for attackTime.
 func (m *memoryTest) serveStore(body func(w io.Writer)) {
+	m.victim.storeProxy.SetTarget(serveConns(m.t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n%s\r\n", m.storeHead)
+			body(chunks{c})
+			if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
+				return
+			}
+		}
+	}))
+	time.Sleep(attackTime)
+	m.victim.storeProxy.SetTarget(m.store.Address)
+}
+
+// serveConns passes the connections to a new address to serve until the test ends.
+func serveConns(t *testing.T, serve func(c net.Conn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		m.t.Fatal(err)
+		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -245,26 +266,11 @@
 			}
 			go func() {
 				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, req.Body)
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n%s\r\n", m.storeHead)
-					w := chunks{c}
-					body(w)
-					if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
-						return
-					}
-				}
+				serve(c)
 			}()
 		}
 	}()
-	m.victim.storeProxy.SetTarget(l.Addr().String())
-	time.Sleep(attackTime)
-	m.victim.storeProxy.SetTarget(m.store.Address)
+	return l.Addr().String()
 }
 
 type chunks struct{ w io.Writer }
--- a/cmd/toucanhaven/node_memory_test.go
+++ b/cmd/toucanhaven/node_memory_test.go
@@ -133,34 +133,19 @@
 
 // serveBackend starts a backend server and returns its address.
 func (n *nodeProcess) serveBackend(server func(c net.Conn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		n.t.Fatal(err)
-	}
-	n.t.Cleanup(func() { l.Close() })
-	go func() {
+	return serveConns(n.t, func(c net.Conn) {
+		in := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
-			if err != nil {
+			if _, err := http.ReadRequest(in); err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					if _, err := http.ReadRequest(in); err != nil {
-						return
-					}
-					if n.faulty.Load() {
-						server(c)
-					} else {
-						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
-					}
-				}
-			}()
+			if n.faulty.Load() {
+				server(c)
+			} else {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // awaitAnswer waits for a whole answer of the backend server, which is no longer faulty.
