review: case 9, a stopping node takes a call that outlasts it and breaks it off

Cause: limitToShutdown cuts the deadline of a repeatable request to the end of the node if recent durations of its route fit, and the next one may last longer. Tried: a SIGTERM, and 3.15 s later a call of the backend server beside the node that lasts 2.6 s; without the SIGTERM as well.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -10,23 +10,25 @@
 	"first-ping": firstPing,
 }
 
-// pair starts a store, a node with a backend server x of service "ordini" and a node of
-// service "vetrina", through which the clients send.
+// pair is a store, a node with a backend server x of service "ordini", and nodes of other
+// services, through which the clients send.
 type pair struct {
-	rec    *record
-	store  *store
-	x      *backend
-	home   *node
-	others []*node
-	stop   chan struct{}
-	wg     sync.WaitGroup
+	rec     *record
+	store   *store
+	x       *backend
+	home    *node
+	others  []*node
+	servers []*backend // beside others
+	stop    chan struct{}
+	wg      sync.WaitGroup
 }
 
 func newPair(rec *record, entries int) *pair {
 	p := &pair{rec: rec, store: newStore(), stop: make(chan struct{})}
-	p.store.operatorWrite("op/config", configDoc(7, []string{"ordini", "vetrina"},
+	p.store.operatorWrite("op/config", configDoc(7, []string{"ordini", "vetrina", "assistenza"},
 		route{name: "r-order", prefix: "/puka111/", kind: "unsafe", service: "ordini", timeoutS: 5, targetS: 2.5, priority: 2},
 		route{name: "r-price", prefix: "/leny950/", kind: "safe", service: "ordini", timeoutS: 5, targetS: 1.2, priority: 1},
+		route{name: "r-job", prefix: "/dosa3/", kind: "unsafe", service: "vetrina", timeoutS: 5, targetS: 2.5, priority: 2},
 	))
 	quick := func(string) time.Duration { return 20 * time.Millisecond }
 	p.x = &backend{service: "ordini", id: "i-7f3a91c2", addr: freeAddr(), slots: 50, work: quick, rec: rec}
@@ -35,12 +37,13 @@
 	p.x.control = p.home.control
 	p.home.start()
 	for i := range entries {
-		b := &backend{service: "vetrina", id: "i-0000000" + string(rune('1'+i)), addr: freeAddr(), slots: 50, work: quick, rec: rec}
+		service := []string{"vetrina", "assistenza"}[i%2]
+		b := &backend{service: service, id: "i-0000000" + string(rune('1'+i)), addr: freeAddr(), slots: 50, work: quick, rec: rec}
 		b.start()
-		n := newNode(rec, p.store, "sidecar-milano-"+string(rune('2'+i)), "vetrina", "milano", b.addr)
+		n := newNode(rec, p.store, "sidecar-milano-"+string(rune('2'+i)), service, "milano", b.addr)
 		b.control = n.control
 		n.start()
-		p.others = append(p.others, n)
+		p.others, p.servers = append(p.others, n), append(p.servers, b)
 		waitFor("node listens", 5*time.Second, n.isReady)
 		go b.beat(p.stop)
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,6 +33,12 @@
 // cannotRun ends the case because it could not run.
 func cannotRun(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
+	for _, n := range allNodes {
+		if !n.isReady() {
+			log, _ := os.ReadFile(filepath.Join(tempDir, n.name+".log"))
+			fmt.Fprintf(os.Stderr, "node %s: %s\n", n.name, log[max(0, len(log)-2000):])
+		}
+	}
 	cleanUp()
 	os.Exit(noRun)
 }
@@ -101,14 +108,24 @@
 	end chan struct{} // closed when the process has ended
 }
 
-// freeAddr returns an address of which nobody uses the port.
+// freeAddr returns an address of which nobody uses the port. The port is below those of outgoing
+// connections. A listener on a second loopback address keeps it from other cases.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("%v", err)
+	for range 1000 {
+		port := 12000 + rand.IntN(19000)
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port)); err != nil {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return addr
 	}
-	defer l.Close()
-	return l.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 // newNode returns a node that is not started. Its settings are those of the template of the
