review: reserve the ports of the stand-in for the whole run, plainer names

Cause: the listeners that reserve the ports were not referenced and could be closed by the garbage collector.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -97,25 +97,30 @@
 
 // node is a process of the mesh node.
 type node struct {
-	name, service, zone                             string
-	caller, ready, control, peer, metrics, backend_ string
-	memoryMB                                        int
-	file                                            string
-	rec                                             *record
+	name, service, zone                                string
+	caller, ready, control, peer, metrics, backendAddr string
+	memoryMB                                           int
+	file                                               string
+	rec                                                *record
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	end chan struct{} // closed when the process has ended
 }
 
+// reserved are the listeners that keep ports from other cases.
+var reserved []net.Listener
+
 // freeAddr returns an address of which nobody uses the port. The port is below those of outgoing
 // connections. A listener on a second loopback address keeps it from other cases.
 func freeAddr() string {
 	for range 1000 {
 		port := 12000 + rand.IntN(19000)
-		if _, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port)); err != nil {
+		reservation, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port))
+		if err != nil {
 			continue
 		}
+		reserved = append(reserved, reservation)
 		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -131,7 +136,7 @@
 // newNode returns a node that is not started. Its settings are those of the template of the
 // deploy file for a small deployment.
 func newNode(rec *record, s *store, name, service, zone, backendAddr string) *node {
-	n := &node{name: name, service: service, zone: zone, rec: rec, memoryMB: 284, backend_: backendAddr,
+	n := &node{name: name, service: service, zone: zone, rec: rec, memoryMB: 284, backendAddr: backendAddr,
 		caller: freeAddr(), ready: freeAddr(), control: freeAddr(), peer: freeAddr(), metrics: freeAddr()}
 	n.file = filepath.Join(tempDir, name+".toml")
 	n.writeSettings(s)
@@ -143,7 +148,7 @@
 	text := fmt.Sprintf("node = %q\nservice = %q\ndata_centre = %q\ncaller_address = %q\nready_address = %q\ncontrol_address = %q\n"+
 		"peer_address = %q\nmetrics_address = %q\nbackend_address = %q\nstore_address = %q\nmemory_mb = %d\n"+
 		"heartbeat = \"1.5s\"\ngrace = \"6s\"\nconfig_delay = \"2s\"\nretry_ratio = 0.2\nretry_slack = 48\nretry_window = \"10s\"\n",
-		n.name, n.service, n.zone, n.caller, n.ready, n.control, n.peer, n.metrics, n.backend_, s.addr, n.memoryMB)
+		n.name, n.service, n.zone, n.caller, n.ready, n.control, n.peer, n.metrics, n.backendAddr, s.addr, n.memoryMB)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		cannotRun("%v", err)
 	}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -163,7 +163,7 @@
 	})
 	sent := time.Now()
 	time.Sleep(delay)
-	status := b.control_("PUT", body)
+	status := b.callControl("PUT", body)
 	b.rec.log("server %s born %d ping %s sequence %d arrived %.2f s after it was sent, answered %d", b.id, b.born, state, seq, time.Since(sent).Seconds(), status)
 	return status
 }
@@ -175,14 +175,14 @@
 	b.sequence++
 	body, _ := json.Marshal(map[string]any{"born": b.born, "sequence": b.sequence})
 	b.mu.Unlock()
-	status := b.control_("DELETE", body)
+	status := b.callControl("DELETE", body)
 	b.rec.log("server %s born %d sent DELETE, answered %d", b.id, b.born, status)
 	return status
 }
 
 var controlClient = &http.Client{Timeout: time.Second}
 
-func (b *backend) control_(method string, body []byte) int {
+func (b *backend) callControl(method string, body []byte) int {
 	req, err := http.NewRequest(method, "http://"+b.control+"/instances/"+b.id, bytes.NewReader(body))
 	if err != nil {
 		return 0
