toucanbackend, toucanmesh: one order of the starts of a server

Cause: heartbeat, departure, health check, restart and record of another node each had a rule of their own for which start is the latest. A departure bound only its own start. A departure ends the earlier starts and those of its id; what it may have ended is held back until a health check that began after it names the server.

--- a/toucanbackend/health.go
+++ b/toucanbackend/health.go
@@ -13,6 +13,13 @@
 
 var errNoInstanceID = errors.New("response has no instance id header")
 
+// failingError is the error for a server which says that it is leaving or failing.
+type failingError struct{ instance string }
+
+func (e *failingError) Error() string {
+	return fmt.Sprintf("server %q is leaving or failing", e.instance)
+}
+
 // CheckHealth makes one health check of the server at an address, on a connection of its
 // own. It returns the id of the server if that answers with status 200, which says that
 // it is not about to leave, and an error otherwise.
@@ -43,7 +50,10 @@
 	if err != nil {
 		return "", err
 	}
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(r.names.NotRun) == "":
+		return "", &failingError{resp.Header.Get(r.names.InstanceID)}
+	case resp.StatusCode != http.StatusOK: // 503 if the server is full
 		return "", fmt.Errorf("status %d", resp.StatusCode)
 	}
 	if instance = resp.Header.Get(r.names.InstanceID); instance == "" {
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -53,9 +53,10 @@
 	retryBudget  *toucanretry.Budget
 	countServing func(service string) int
 
+	heartbeatInterval func() time.Duration
+
 	mu       sync.Mutex
-	server   Server
-	departed departures
+	starts   starts
 	failures decayingShare
 	runs     map[string]*run
 	retained []*run // ended runs whose results hold memory, oldest first
@@ -73,7 +74,7 @@
 	answeredCalls int               // calls that the backend server made for this run and that were answered
 }
 
-// Options configures a Runner. All fields are required.
+// Options configures a Runner. All fields but NeedsProof and HeartbeatInterval are required.
 type Options struct {
 	Names HeaderNames
 	Clock toucanclock.Clock
@@ -84,6 +85,11 @@
 	RetryBudget *toucanretry.Budget
 	// CountServing returns the number of members of a service that take calls.
 	CountServing func(service string) int
+	// NeedsProof holds the first server back until it has shown that it takes calls. A
+	// node that has restarted may have forgotten that the server has left.
+	NeedsProof bool
+	// HeartbeatInterval returns the time between heartbeats of the server.
+	HeartbeatInterval func() time.Duration
 	// OnChange is called when the server starts or stops taking calls, restarts or
 	// announces another number of slots.
 	OnChange func(Server)
@@ -93,7 +99,10 @@
 func NewRunner(o Options) *Runner {
 	r := &Runner{
 		names: o.Names, clock: o.Clock, log: o.Log, onChange: o.OnChange, retryBudget: o.RetryBudget, countServing: o.CountServing, bodies: o.Bodies,
-		runs: make(map[string]*run),
+		heartbeatInterval: o.HeartbeatInterval, runs: make(map[string]*run), starts: starts{unproven: o.NeedsProof},
+	}
+	if r.heartbeatInterval == nil {
+		r.heartbeatInterval = func() time.Duration { return 0 }
 	}
 	r.pool = toucanconn.NewPool(connIdleTimeout, o.Clock.Now, toucanconn.Memory{Budget: o.Bodies, Reserve: r.reserveBody})
 	return r
@@ -103,59 +112,90 @@
 func (r *Runner) Server() Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.server
+	return r.starts.server
 }
 
-// Observe applies a heartbeat. A server that has announced its departure counts as
-// draining, whatever its heartbeat says.
+// Observe applies a heartbeat.
 func (r *Runner) Observe(h Heartbeat) Verdict {
-	return r.updateServer(func(s Server) (Server, Verdict) {
-		if r.departed.has(h.Instance, h.Born) {
-			h.State = Draining
-		}
-		return s.Observe(h, r.clock.Now())
-	})
+	return r.updateStarts(func(s *starts) Verdict { return s.observe(h, r.clock.Now()) })
 }
 
 // MarkLeft records that a server announced its departure. It may be a server of which
 // no heartbeat has arrived yet.
 func (r *Runner) MarkLeft(instance string, born int64) Verdict {
-	return r.updateServer(func(s Server) (Server, Verdict) {
-		if s.Instance == instance && born == 0 {
-			born = s.Born
-		}
-		r.departed = r.departed.with(instance, born)
-		return s.MarkLeft(instance, born)
-	})
+	return r.updateStarts(func(s *starts) Verdict { return s.markLeft(start{instance, born}, r.clock.Now()) })
 }
 
 // HasLeft reports whether a start of a server announced its departure.
 func (r *Runner) HasLeft(instance string, born int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.departed.has(instance, born)
+	return r.starts.hasLeft(start{instance, born})
+}
+
+// BornOf returns the start time of the latest start that is known of a server.
+func (r *Runner) BornOf(instance string) (born int64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts.bornOf(instance)
+}
+
+// Recall holds a server back of which another node or the store has a record. It is used
+// without a heartbeat once a health check shows that it takes calls.
+func (r *Runner) Recall(h Heartbeat) {
+	r.updateStarts(func(s *starts) Verdict {
+		s.recall(h)
+		return Held
+	})
+}
+
+// TakeHealthCheck reports whether a health check is due, because a server is held back until
+// it has shown that it takes calls, and counts the check.
+func (r *Runner) TakeHealthCheck() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts.takeCheck()
+}
+
+// ProveServer makes a health check and uses the server that was held back if the answer
+// shows that it takes calls. It returns the id of the server that answered.
+func (r *Runner) ProveServer(ctx context.Context, address, path string) (instance string, err error) {
+	asked := r.clock.Now()
+	instance, err = r.CheckHealth(ctx, address, path)
+	var failing *failingError
+	r.updateStarts(func(s *starts) Verdict {
+		switch {
+		case err == nil:
+			s.prove(healthAnswer{instance, address, asked}, r.clock.Now())
+		case errors.As(err, &failing):
+			s.failing = healthAnswer{failing.instance, address, asked}
+		}
+		return Current
+	})
+	return instance, err
 }
 
-// updateServer replaces the server by the result of f and acts on the change.
-func (r *Runner) updateServer(f func(Server) (Server, Verdict)) Verdict {
+// updateStarts calls f and acts on the change of the server.
+func (r *Runner) updateStarts(f func(*starts) Verdict) Verdict {
 	r.mu.Lock()
-	before := r.server
-	after, verdict := f(before)
-	r.server = after
+	before := r.starts.server
+	r.starts.heartbeat = r.heartbeatInterval()
+	verdict := f(&r.starts)
+	after := r.starts.server
 	r.mu.Unlock()
-	if verdict == Late {
+	if after == before {
 		return verdict
 	}
 	if after.Slots > 0 && after.Slots != before.Slots {
 		r.limiter.setSlots(after.Slots)
 	}
-	if before.Address != "" && (before.Address != after.Address || before.Instance != after.Instance || before.Born != after.Born) {
+	if before.Address != "" && (before.Address != after.Address || before.start() != after.start()) {
 		r.pool.CloseAddress(before.Address)
 	}
 	if !after.Serving() {
 		r.limiter.refuseWaiting()
 	}
-	if before.Serving() != after.Serving() || before.Instance != after.Instance || before.Born != after.Born || before.Slots != after.Slots {
+	if before.Serving() != after.Serving() || before.start() != after.start() || before.Slots != after.Slots {
 		r.onChange(after)
 	}
 	return verdict
@@ -166,7 +206,7 @@
 	rep := r.limiter.report()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep.Serving, rep.Failures = r.server.Serving(), r.failures.valueAt(r.clock.Now())
+	rep.Serving, rep.Failures = r.starts.server.Serving(), r.failures.valueAt(r.clock.Now())
 	return rep
 }
 
@@ -402,11 +442,12 @@
 // clearServer removes the server s after another server answered at its address.
 // The next heartbeat sets it again.
 func (r *Runner) clearServer(s Server) {
-	r.updateServer(func(current Server) (Server, Verdict) {
-		if current.Instance != s.Instance || current.Born != s.Born {
-			return current, Late
+	r.updateStarts(func(known *starts) Verdict {
+		if known.server.start() != s.start() {
+			return Late
 		}
-		return Server{}, Restarted
+		known.clear()
+		return Restarted
 	})
 }
 
--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -20,38 +20,37 @@
 			return fmt.Errorf("server %s of service %q at %s is not the one on this VM, %q at %s", h.Instance, h.Service, h.Address, s.Service, s.BackendAddress)
 		}
 	}
-	if !n.admitHeartbeat(h) {
-		return nil
-	}
-	return n.observeHeartbeat(h)
-}
-
-func (n *Node) observeHeartbeat(h toucanbackend.Heartbeat) error {
 	verdict := n.runner.Observe(h)
-	if verdict == toucanbackend.Late {
+	switch verdict {
+	case toucanbackend.Late:
 		n.log.Info("late heartbeat", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence, "state", string(h.State))
+	case toucanbackend.Held:
+		n.log.Info("heartbeat held back", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence)
+		wake(n.startup.changed)
 	}
-	if h.State != toucanbackend.Draining {
-		return nil
+	if h.State != toucanbackend.Draining || !n.runner.HasLeft(h.Instance, h.Born) {
+		return nil // a draining start may have reported later that it is ready
 	}
-	if s := n.runner.Server(); verdict == toucanbackend.Late && s.Instance == h.Instance && s.Born == h.Born && !s.Left {
-		return nil // the same start reported later that it is ready
-	}
-	n.runner.MarkLeft(h.Instance, h.Born)
 	return n.recordDeparture(departure{h.Instance, h.Born})
 }
 
 // HandleDeparture handles the message of a backend server that it has left. The node
 // may not know the server: it may have just started, or heard of an earlier one only.
 func (n *Node) HandleDeparture(instance string, born int64) error {
-	if s := n.runner.Server(); born == 0 && s.Instance == instance {
-		born = s.Born
-	}
 	if born == 0 {
-		return fmt.Errorf("departure of server %s, which is not known, has no start time", instance)
+		var known bool
+		if born, known = n.runner.BornOf(instance); !known {
+			return fmt.Errorf("departure of server %s, which is not known, has no start time", instance)
+		}
 	}
+	n.markLeft(instance, born)
+	return n.recordDeparture(departure{instance, born})
+}
+
+// markLeft marks a start of a backend server as departed.
+func (n *Node) markLeft(instance string, born int64) {
 	if n.runner.MarkLeft(instance, born) == toucanbackend.Late {
 		n.log.Info("departure of another server", "instance", instance, "born", born)
 	}
-	return n.recordDeparture(departure{instance, born})
+	wake(n.startup.changed) // a start that it may have ended must prove that it has not
 }
--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -83,6 +83,98 @@
 	}
 }
 
+// The departure of a start that the node has not heard of must end the earlier start that is in
+// use, before any heartbeat of the new one arrives (review/10).
+func TestDepartureOfUnheardStartEndsEarlierOne(t *testing.T) {
+	for _, instance := range []string{"i-b", "i-new"} {
+		t.Run(instance, func(t *testing.T) {
+			s := newDeployment(t, safeRoute())
+			entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+			entry.awaitServed("/read/")
+			earlier, born := home.backend.Instance, home.backend.Born
+			home.backend.Restart(instance)
+			home.awaitDeparture()
+			expectNoCalls(t, entry, home, 500*time.Millisecond)
+			newInstance, newBorn := home.backend.Instance, home.backend.Born
+			home.backend.Instance, home.backend.Born = earlier, born
+			home.sendHeartbeat("ready", http.StatusOK)
+			home.backend.Instance, home.backend.Born = newInstance, newBorn
+			expectNoCalls(t, entry, home, 500*time.Millisecond)
+		})
+	}
+}
+
+// A heartbeat of an earlier start must not put a server that has left into use, however late
+// it arrives and whether or not the node has restarted since (review/9).
+func TestLateHeartbeatOfEarlierStart(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restart=%v", restart), func(t *testing.T) {
+			s := newDeployment(t, safeRoute())
+			entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+			entry.awaitServed("/read/")
+			instance, born := home.backend.Instance, home.backend.Born
+			home.backend.Restart(instance)
+			home.sendHeartbeat("ready", http.StatusOK)
+			newBorn := home.backend.Born
+			home.awaitDeparture()
+			if restart {
+				home.kill()
+				home.run()
+			}
+			for range 2 {
+				time.Sleep(4100 * time.Millisecond) // an earlier start time was once believed then
+				home.backend.Born = born
+				home.sendHeartbeat("ready", http.StatusOK)
+				home.backend.Born = newBorn
+				expectNoCalls(t, entry, home, 300*time.Millisecond)
+			}
+			home.backend.Restart(instance)
+			home.sendHeartbeat("ready", http.StatusOK)
+			entry.awaitServed("/read/")
+		})
+	}
+}
+
+// A server whose clock was set back must be in use soon after it has started again, also if the
+// start before it has left.
+func TestRestartWithClockSetBack(t *testing.T) {
+	for _, instance := range []string{"i-b", "i-new"} {
+		for _, left := range []bool{false, true} {
+			for _, healthCheck := range []bool{true, false} {
+				if left && !healthCheck && instance == "i-b" {
+					continue // nothing tells it from a late heartbeat
+				}
+				t.Run(fmt.Sprintf("%s/left=%v/health_check=%v", instance, left, healthCheck), func(t *testing.T) {
+					s := newDeployment(t, safeRoute())
+					entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+					entry.awaitServed("/read/")
+					born := home.backend.Born
+					if left {
+						home.awaitDeparture()
+					}
+					if !healthCheck {
+						home.backend.DisableHealthCheck()
+					}
+					home.backend.Restart(instance)
+					home.backend.Born = born - 5000
+					home.sendHeartbeat("ready", http.StatusOK)
+					if !healthCheck {
+						for end := time.Now().Add(home.settings.Heartbeat.Duration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+							entry.send("GET", "/read/1", fmt.Sprintf("probe-%d", probeCount.Add(1)))
+						}
+						home.sendHeartbeat("ready", http.StatusOK)
+					}
+					began := time.Now()
+					entry.awaitServed("/read/")
+					if took := time.Since(began); took > 500*time.Millisecond {
+						t.Errorf("in use after %v, want at most 500ms", took)
+					}
+				})
+			}
+		}
+	}
+}
+
 // The record of a departure must not replace that of another start.
 func TestLateDepartureKeepsNewerOne(t *testing.T) {
 	is := is.New(t)
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -127,6 +127,7 @@
 	n.messages.Budget = toucanmemory.NewBudget(n.messages.Limit)
 	n.runner = toucanbackend.NewRunner(toucanbackend.Options{
 		Names: o.Platform.Headers, Clock: o.Clock, Log: o.Log, OnChange: n.backendChanged,
+		NeedsProof: true, HeartbeatInterval: func() time.Duration { return n.settings.Load().Heartbeat.Duration },
 		Bodies:       n.bodies,
 		RetryBudget:  n.retryBudget(backendRetryRatioShare, backendRetrySlackShare),
 		CountServing: func(service string) int { return n.fleet.CountServing(service) },
@@ -198,7 +199,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-n.stop; cancel() }()
 	go func() { n.recoverState(ctx); n.register(ctx) }()
-	go n.proveServer(ctx)
+	go n.proveServers(ctx)
 	go n.followConfig(ctx)
 	go n.followMembers(ctx)
 	go n.pollSettings()
--- a/toucanmesh/startup.go
+++ b/toucanmesh/startup.go
@@ -4,8 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucanhaven/toucanbackend"
@@ -20,18 +19,9 @@
 	// nodes of the data centre have had the opportunity.
 	peerReportWait = 300 * time.Millisecond
 	peerReportPoll = 5 * time.Millisecond
-	// freshHeartbeatShare is a share of the heartbeat interval. A further
-	// heartbeat that arrives at least this long after the first one was sent
-	// after this node started.
-	freshHeartbeatShare = 0.6
-	// maxHealthChecks bounds the health checks after a start; heartbeats take their place.
-	// healthRetryDelay is the delay after one that did not show whether the
+	// healthRetryDelay is the delay after a health check that did not show whether the
 	// server takes calls.
-	maxHealthChecks  = 4
 	healthRetryDelay = 250 * time.Millisecond
-	// maxKnownServers bounds the servers that a node keeps until one of them has shown that
-	// it takes calls.
-	maxKnownServers = 8
 )
 
 // startupState is what a node knows about its backend server before it may use the
@@ -40,42 +30,8 @@
 // neither the store nor another node can show that the server has not left, only
 // the server itself: by a health check, or by going on to report that it is ready.
 type startupState struct {
-	changed chan struct{} // signals a change to proveServer
-
-	mu           sync.Mutex
-	proven       bool                    // the server has shown that it takes calls
-	storeRead    bool                    // departures in the store are known
-	pending      toucanbackend.Heartbeat // newest heartbeat, until one is used
-	firstArrival time.Time               // arrival of the first heartbeat of that start of the server
-	healthChecks int                     // since the start of this node or that of the server
-	known        []toucanpeer.Member     // servers of which the store or another node has a record
-}
-
-// admitHeartbeat reports whether a heartbeat may be used now. Until the server has shown
-// that it takes calls, only a draining heartbeat may be used, and the newest other one is
-// kept for proveServer.
-func (n *Node) admitHeartbeat(h toucanbackend.Heartbeat) bool {
-	s := &n.startup
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.proven || h.State == toucanbackend.Draining {
-		return true
-	}
-	now := n.clock.Now()
-	sameStart := h.Instance == s.pending.Instance && h.Born == s.pending.Born
-	if sameStart && h.Sequence > s.pending.Sequence && now.Sub(s.firstArrival).Seconds() > freshHeartbeatShare*n.settings.Load().Heartbeat.Seconds() {
-		s.proven = true
-		n.log.Info("server proven", "source", "heartbeats", "instance", h.Instance)
-		return true
-	}
-	switch {
-	case sameStart && h.Sequence > s.pending.Sequence:
-		s.pending = h
-	case !sameStart && h.Born >= s.pending.Born:
-		s.pending, s.firstArrival, s.healthChecks = h, now, 0
-	}
-	wake(s.changed)
-	return false
+	changed   chan struct{} // signals a change to proveServers
+	storeRead atomic.Bool   // departures in the store are known
 }
 
 // recoverState writes the member of this node for the first time, under the condition
@@ -100,7 +56,7 @@
 			return
 		}
 		n.log.Warn("departures not read", "err", err)
-		if n.isServerProven() {
+		if n.runner.Server().Serving() {
 			sleep(ctx, renewRetryDelay)
 		} else {
 			sleep(ctx, startRetryDelay)
@@ -137,23 +93,21 @@
 		departed = append(departed, n.decodeDepartures(i)...)
 	}
 	for _, d := range departed {
-		n.runner.MarkLeft(d.Instance, d.Born)
+		n.markLeft(d.Instance, d.Born)
 	}
 	if len(departed) == 0 {
 		n.awaitNeighbours(ctx)
 	}
 	if stored.Current.Revision != 0 {
 		if m, ok := n.decodeMember(stored.Current); ok {
-			n.addKnownServer(m)
+			n.recallServer(m)
 		}
 	}
 	n.markStoreRead(departed...)
 }
 
 func (n *Node) markStoreRead(departed ...departure) {
-	n.startup.mu.Lock()
-	n.startup.storeRead = true
-	n.startup.mu.Unlock()
+	n.startup.storeRead.Store(true)
 	n.log.Info("departures known", "departed", fmt.Sprint(departed))
 	wake(n.startup.changed)
 }
@@ -161,119 +115,74 @@
 // handlePeerReply handles what another node knows about this one.
 func (n *Node) handlePeerReply(reply toucanpeer.HelloReply) {
 	for _, d := range reply.Departures {
-		n.runner.MarkLeft(d.Instance, d.Born)
+		n.markLeft(d.Instance, d.Born)
 		n.startRecording(departure{d.Instance, d.Born}) // the store had none when the other node was asked to keep it
 	}
 	switch m := reply.You; {
 	case m.Left:
-		n.runner.MarkLeft(m.Instance, m.Born)
+		n.markLeft(m.Instance, m.Born)
 	case m.Instance != "":
-		n.addKnownServer(m)
+		n.recallServer(m)
 	}
 }
 
-func (n *Node) addKnownServer(m toucanpeer.Member) {
-	s := &n.startup
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	same := func(k toucanpeer.Member) bool { return k.Instance == m.Instance && k.Born == m.Born }
-	if !s.proven && len(s.known) < maxKnownServers && !slices.ContainsFunc(s.known, same) {
-		s.known = append(s.known, m)
-		wake(s.changed)
+// recallServer holds a server back of which the store or another node has a record.
+func (n *Node) recallServer(m toucanpeer.Member) {
+	s := n.settings.Load()
+	if m.Instance == "" || m.Left || m.Service != s.Service {
+		return
 	}
+	n.runner.Recall(toucanbackend.Heartbeat{
+		Instance: m.Instance, Service: m.Service, Address: s.BackendAddress, Slots: m.Slots, State: toucanbackend.Ready, Born: m.Born,
+	})
+	wake(n.startup.changed)
 }
 
-func (n *Node) isServerProven() bool {
-	n.startup.mu.Lock()
-	defer n.startup.mu.Unlock()
-	return n.startup.proven
-}
-
-// proveServer checks the health of the backend server until that shows that the server
-// takes calls, or heartbeats do.
-func (n *Node) proveServer(ctx context.Context) {
-	t := time.NewTicker(peerReportWait)
-	defer t.Stop()
-	for !n.isServerProven() {
-		select {
-		case <-n.startup.changed:
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
+// proveServers checks the health of the backend server while a start of it is held back
+// until the server has shown that it takes calls.
+func (n *Node) proveServers(ctx context.Context) {
+	for ctx.Err() == nil {
 		path := n.healthPath()
-		if path == "" || !n.takeHealthCheck() {
+		if path == "" || !n.departuresKnown() || !n.runner.TakeHealthCheck() {
+			n.awaitChange(ctx)
 			continue
 		}
-		instance, err := n.runner.CheckHealth(ctx, n.settings.Load().BackendAddress, path)
+		instance, err := n.runner.ProveServer(ctx, n.settings.Load().BackendAddress, path)
 		if err != nil {
 			n.log.Warn("server not proven", "err", err)
 			sleep(ctx, healthRetryDelay)
 			continue
 		}
-		n.useProvenServer(instance)
+		n.log.Info("server proven", "instance", instance)
 	}
 }
 
-func (n *Node) healthPath() string {
-	table := n.entry.Table.Load()
-	if table == nil {
-		return ""
+// awaitChange waits until a server may have to be checked. Until one is known it also looks
+// at intervals, because the configuration and the state of the store may be known by then.
+func (n *Node) awaitChange(ctx context.Context) {
+	var interval <-chan time.Time
+	if n.runner.Server().Instance == "" {
+		t := time.NewTimer(peerReportWait)
+		defer t.Stop()
+		interval = t.C
 	}
-	return table.HealthPath(n.settings.Load().Service)
-}
-
-// takeHealthCheck reports whether a health check is due, and counts it: there is a server
-// to use, and the departures that others remember are known or cannot be known now.
-func (n *Node) takeHealthCheck() bool {
-	s := &n.startup
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := s.storeRead || n.store.isUnreachable() && n.clock.Now().Sub(n.started) >= peerReportWait
-	if !known || s.pending.Instance == "" && len(s.known) == 0 || s.healthChecks >= maxHealthChecks {
-		return false
+	select {
+	case <-n.startup.changed:
+	case <-interval:
+	case <-ctx.Done():
 	}
-	s.healthChecks++
-	return true
 }
 
-// useProvenServer uses the server that has shown that it takes calls.
-func (n *Node) useProvenServer(instance string) {
-	s := &n.startup
-	s.mu.Lock()
-	wasProven := s.proven
-	s.proven = true
-	h, found := s.pending, s.pending.Instance == instance
-	known := s.known
-	s.known = nil
-	s.mu.Unlock()
-	if wasProven {
-		return
-	}
-	n.log.Info("server proven", "source", "health", "instance", instance)
-	if found {
-		if err := n.observeHeartbeat(h); err != nil {
-			n.log.Warn("held heartbeat failed", "err", err)
-		}
-		return
-	}
-	for _, m := range known {
-		if m.Instance == instance {
-			n.resumeServer(m)
-		}
-	}
+// departuresKnown reports whether the departures that others remember are known, or cannot
+// be known now.
+func (n *Node) departuresKnown() bool {
+	return n.startup.storeRead.Load() || n.store.isUnreachable() && n.clock.Now().Sub(n.started) >= peerReportWait
 }
 
-// resumeServer uses a backend server without waiting for its next heartbeat, unless that
-// start of it has left or the node already knows a server.
-func (n *Node) resumeServer(m toucanpeer.Member) {
-	s := n.settings.Load()
-	left := m.Left || n.runner.HasLeft(m.Instance, m.Born)
-	if left || m.Service != s.Service || n.runner.Server().Instance != "" {
-		return
+func (n *Node) healthPath() string {
+	table := n.entry.Table.Load()
+	if table == nil {
+		return ""
 	}
-	n.log.Info("resume", "instance", m.Instance, "born", m.Born)
-	n.runner.Observe(toucanbackend.Heartbeat{
-		Instance: m.Instance, Service: m.Service, Address: s.BackendAddress, Slots: m.Slots, State: toucanbackend.Ready, Born: m.Born,
-	})
+	return table.HealthPath(n.settings.Load().Service)
 }
