toucanentry: a stopping node passes on only what ends before it

Cause: a call that may run again was taken if 1.25 times the longest recent duration of its route fitted into the time left. Recent durations do not bound the next one. A call whose deadline is after the end of the node gets 503 before it is passed on. The node starts to refuse 2.8 s after SIGTERM in place of 3 s, so that the calls of the runs in progress have 2.6 s. TestStoppingNodeServesItsBackendServer made a call with a deadline after the end of its node and wanted 200; its call now has a deadline that the node can keep, and the new test covers the others.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -37,9 +37,6 @@
 	// outcomeGrace is the time after the deadline in which the node that was sent
 	// the request can still report its outcome.
 	outcomeGrace = 60 * time.Millisecond
-	// durationMargin is the multiple of the longest recent duration of a request that must
-	// be left before the node ends.
-	durationMargin = 1.25
 	// defaultRetryAfter is the Retry-After value of a request that is refused
 	// while no configuration is known or because the node stops.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -77,30 +74,20 @@
 }
 
 // StopAt makes the entry refuse new requests with reason ReasonLeaving while idle
-// returns true, and those that cannot be expected to be answered before end.
+// returns true, and those that may last beyond end.
 func (e *Entry) StopAt(end time.Time, idle func() bool) {
 	e.shutdown.Store(&shutdown{end: end, idle: idle})
 }
 
-// limitToShutdown returns the deadline of a new request, and whether the entry takes the
-// request. One that may last beyond the end of the node is taken only if it may run again
-// and requests of its route have been answered in the time that is left; it gets an earlier
-// deadline.
-func (e *Entry) limitToShutdown(q *request) (deadline time.Time, ok bool) {
+// takesRequest reports whether the entry takes a new request. While the node stops, it takes
+// only one whose deadline is before the end: how long others took bounds nothing.
+func (e *Entry) takesRequest(q *request) bool {
 	s := e.shutdown.Load()
 	if s == nil {
-		return q.deadline, true
-	}
-	latest := s.end.Add(-outcomeGrace)
-	switch {
-	case s.idle(), q.Pipelined: // the response before it may be late
-		return q.deadline, false
-	case !q.deadline.After(latest):
-		return q.deadline, true
+		return true
 	}
-	longest := e.Fleet.LongestDuration(q.route.Name)
-	needed := max(q.route.Target, time.Duration(durationMargin*float64(longest)))
-	return latest, q.route.Repeatable && longest > 0 && latest.Sub(e.Clock.Now()) >= needed
+	behind := q.Pipelined // the response before it may be late
+	return !s.idle() && !behind && !q.deadline.After(s.end.Add(-outcomeGrace))
 }
 
 // Metrics records the status and duration of each request and the result of each
@@ -186,12 +173,12 @@
 		}
 	}
 	q.deadline = q.Arrived.Add(remaining)
-	var ok bool
-	if q.deadline, ok = e.limitToShutdown(q); !ok {
+	if !e.takesRequest(q) {
 		q.reason = toucancall.ReasonLeaving
 		return e.refuse(q, defaultRetryAfter)
 	}
 	q.service = e.Splitter.NextService(q.route)
+	var ok bool
 	if ok, q.admittedShare, q.pressure = e.throttle.admit(q.route, q.service, e.Clock.Now()); !ok {
 		q.reason = reasonThrottled
 		return e.refuse(q, e.retryAfter(q.route))
--- a/toucanfleet/choose.go
+++ b/toucanfleet/choose.go
@@ -39,9 +39,6 @@
 	exploreShare = 0.01
 	// statsWeight is the weight of a new call in the moving averages.
 	statsWeight = 0.1
-	// longestDecay is the share by which a shorter call brings the longest recent one
-	// closer to itself.
-	longestDecay = 0.01
 	// statsTTL is the time after which the statistics of a member that gets no
 	// calls expire.
 	statsTTL = 3 * time.Second
@@ -56,9 +53,8 @@
 
 // routeStats holds statistics over the calls of a route.
 type routeStats struct {
-	latency float64       // moving average in seconds, at a member with the mean run duration
-	bytes   float64       // moving average of the size of a response body
-	longest time.Duration // longest recent call
+	latency float64 // moving average in seconds, at a member with the mean run duration
+	bytes   float64 // moving average of the size of a response body
 }
 
 // Target is a member that a call is sent to.
@@ -177,18 +173,9 @@
 	}
 	average.latency += statsWeight * (latency - average.latency)
 	average.bytes += statsWeight * (float64(len(r.Body)) - average.bytes)
-	average.longest = max(took, average.longest-time.Duration(longestDecay*float64(average.longest-took)))
 	f.routes[route] = average
 }
 
-// LongestDuration returns the longest time in which recent calls of a route were
-// answered, or 0 if none was.
-func (f *Fleet) LongestDuration(route string) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.routes[route].longest
-}
-
 // relativeDuration returns the mean run duration of the member as a multiple of
 // mean, or 1 if either is unknown.
 func (n *node) relativeDuration(mean time.Duration) float64 {
--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -539,11 +539,12 @@
 }
 
 // A backend server that still runs a request when its node stops must be able
-// to make calls through the node until the request completes.
+// to make calls through the node until the request completes, if they end before the node.
 func TestStoppingNodeServesItsBackendServer(t *testing.T) {
 	is := is.New(t)
 	read, child := safeRoute(), safeRoute()
 	read.TimeoutS = 4
+	child.TimeoutS = 1
 	child.Name, child.Prefix, child.Services = "child", "/child/", map[string]int{"stock": 1}
 	s := newDeployment(t, read, child)
 	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -14,8 +14,10 @@
 	drainIdleTime = 100 * time.Millisecond
 	minDrainTime  = 2200 * time.Millisecond
 	// maxDrainTime is the longest time that all callers are served. Further
-	// requests are refused unless they can be answered within the grace time.
-	maxDrainTime      = 3 * time.Second
+	// requests are refused unless they are answered within the grace time. The calls of the
+	// runs that are in progress then have 2.6 s of a grace time of 6 s, and the platform
+	// holds a node to its promise for requests from 3 s on.
+	maxDrainTime      = 2800 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 	// runMargin is the multiple of the mean duration of a run that must be left before
 	// the node ends.
--- a/toucanmesh/stop_test.go
+++ b/toucanmesh/stop_test.go
@@ -182,6 +182,33 @@
 	}
 }
 
+// A stopping node must not pass on a call that may last beyond its end because earlier calls of the
+// route were fast: the server that works on it would be cut (review/8).
+func TestStoppingNodeCutsNoCallThatTakesLongerThanEarlierOnes(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	n := newStoppingNode(t)
+	n.stock.SetAnswer(platformtest.RespondOK)
+	for i := range 20 {
+		n.send(n.dial(t), "slow", fmt.Sprintf("fast-%d", i))
+	}
+	n.stock.SetAnswer(platformtest.RespondAfter(1400 * time.Millisecond))
+	n.stop()
+	var wg sync.WaitGroup
+	for at := n.settings.Grace.Duration/2 + interval; at < n.settings.Grace.Duration; at += interval {
+		wg.Go(func() {
+			time.Sleep(at - n.sinceStop())
+			c, err := net.Dial("tcp", n.settings.CallerAddress)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			n.checkAnswered(t, n.send(c, "slow", fmt.Sprintf("slow-%v", at))[0])
+		})
+	}
+	wg.Wait()
+	<-n.done
+}
+
 // A stopping node must not refuse a call of its backend server that can still end in time.
 func TestStoppingNodeServesCallsThatEndInTime(t *testing.T) {
 	is := is.New(t)
