toucanmesh: a stopping node takes no run that may outlast it and run only once

Callers: an order that another node passed on to a stopping node was cut at the end of that node while the server worked on it, and answered 504, if it took longer than twice the mean of recent runs. What other runs took does not bound the next one. Fix: a call that may run only once is taken only if its deadline is before the end of the node; the other node sends it elsewhere. One that may run again is sent again if it is cut, so the mean still decides there.

--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -99,7 +99,8 @@
 }
 
 // takesRun reports whether the node takes a call of another node. While it stops, it
-// takes none that is likely to last beyond its end.
+// takes none that may last beyond its end if the call may run only once: it could not be sent
+// elsewhere afterwards. It takes none that may run again if that is likely to last too long.
 func (n *Node) takesRun(c *toucanpeer.Call) bool {
 	end := n.end.Load()
 	switch {
@@ -109,7 +110,7 @@
 		return true
 	}
 	remaining := end.Sub(n.clock.Now())
-	return c.Left <= remaining || runMargin*n.runner.Report().Duration <= remaining
+	return c.Left <= remaining || c.Repeatable && runMargin*n.runner.Report().Duration <= remaining
 }
 
 // pendingRuns returns the number of calls that run or wait in the queue.
--- a/toucanmesh/stop_test.go
+++ b/toucanmesh/stop_test.go
@@ -263,46 +263,58 @@
 	is.Equal(n.stock.Runs("second"), 1)
 }
 
-// A stopping node must take no call of another node that it is not expected to answer
-// before its end: a call that may run only once cannot be sent elsewhere afterwards.
+// A stopping node must take no call of another node that may last beyond its end, whether or not
+// earlier ones were fast: a call that may run only once cannot be sent elsewhere afterwards.
 func TestStoppingNodeTakesNoRunThatOutlastsIt(t *testing.T) {
 	const duration = 2500 * time.Millisecond
-	route := unsafeRoute()
-	route.TimeoutS = 6
-	s := newDeployment(t, route)
-	entry, home, spare := s.startNode("a", "stock"), s.startNode("b", "orders"), s.startNode("c", "orders")
-	entry.awaitServed("/order/")
-	for _, m := range []*testNode{home, spare} {
-		m.awaitServed("/order/")
-		m.backend.Slots = 400
-		m.sendHeartbeat("ready", http.StatusOK)
-		m.backend.SetAnswer(platformtest.RespondAfter(duration))
-	}
-	send := func(id string) response {
-		c, err := net.Dial("tcp", entry.settings.CallerAddress)
-		if err != nil {
-			return response{err: err}
-		}
-		defer c.Close()
-		io.WriteString(c, requestText("POST", "/order/1", id, 6*time.Second, ""))
-		return readResponse(bufio.NewReader(c))
-	}
-	var wg sync.WaitGroup
-	for i := range 200 { // enough for the mean duration of the runs
-		wg.Go(func() { send(fmt.Sprintf("before-%d", i)) })
-	}
-	wg.Wait()
-	home.stopped = true
-	wg.Go(home.Stop)
-	for i := range 40 {
-		time.Sleep(50 * time.Millisecond)
-		wg.Go(func() {
-			if got := send(fmt.Sprintf("during-%d", i)); got.err != nil || got.status != http.StatusOK {
-				t.Errorf("request %d got status %d, error %v", i, got.status, got.err)
+	for _, fastBefore := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fast_before=%v", fastBefore), func(t *testing.T) {
+			route := unsafeRoute()
+			route.TimeoutS = 6
+			s := newDeployment(t, route)
+			entry, home, spare := s.startNode("a", "stock"), s.startNode("b", "orders"), s.startNode("c", "orders")
+			entry.awaitServed("/order/")
+			setDuration := func(d time.Duration) {
+				for _, m := range []*testNode{home, spare} {
+					m.backend.SetAnswer(platformtest.RespondAfter(d))
+				}
 			}
+			for _, m := range []*testNode{home, spare} {
+				m.awaitServed("/order/")
+				m.backend.Slots = 400
+				m.sendHeartbeat("ready", http.StatusOK)
+			}
+			if !fastBefore {
+				setDuration(duration)
+			}
+			send := func(id string) response {
+				c, err := net.Dial("tcp", entry.settings.CallerAddress)
+				if err != nil {
+					return response{err: err}
+				}
+				defer c.Close()
+				io.WriteString(c, requestText("POST", "/order/1", id, 6*time.Second, ""))
+				return readResponse(bufio.NewReader(c))
+			}
+			var wg sync.WaitGroup
+			for i := range 200 { // enough for the mean duration of the runs
+				wg.Go(func() { send(fmt.Sprintf("before-%d", i)) })
+			}
+			wg.Wait()
+			setDuration(duration)
+			home.stopped = true
+			wg.Go(home.Stop)
+			for i := range 40 {
+				time.Sleep(50 * time.Millisecond)
+				wg.Go(func() {
+					if got := send(fmt.Sprintf("during-%d", i)); got.err != nil || got.status != http.StatusOK {
+						t.Errorf("request %d got status %d, error %v", i, got.status, got.err)
+					}
+				})
+			}
+			wg.Wait()
 		})
 	}
-	wg.Wait()
 }
 
 // A node whose store does not answer must still end within its grace time, also with work
