toucanstore, platform, toucanmesh: odd entries do not hide the members behind them

Cause: a listing kept every entry until its end and failed as a whole beyond 16 MiB, and after an end of all processes a node finds the others only by the listing. Fix: List keeps only the entries that the caller wants, page by page; an entry that is no member takes no memory.

--- a/toucanmesh/member.go
+++ b/toucanmesh/member.go
@@ -182,7 +182,7 @@
 	if !n.store.isUnreachable() {
 		return nil
 	}
-	_, err := n.store.List(ctx, memberPrefix+n.settings.Load().Node, toucanstore.Recent)
+	_, err := n.store.List(ctx, memberPrefix+n.settings.Load().Node, toucanstore.Recent, nil)
 	return err
 }
 
@@ -354,6 +354,12 @@
 	return m, err == nil
 }
 
+// isMember reports whether an entry of the store describes a member.
+func (n *Node) isMember(i toucanstore.Item) bool {
+	_, ok := n.decodeMember(i)
+	return ok
+}
+
 // maxSlots bounds the slots that a member may announce.
 const maxSlots = 1_000_000
 
--- a/toucanmesh/mesh_test.go
+++ b/toucanmesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -570,6 +571,23 @@
 // minDrainTime is the time for which a stopping node serves all callers.
 const minDrainTime = 2200 * time.Millisecond
 
+// Entries of another writer among the members, however large and many, must not keep nodes that all
+// start again from finding each other (review/6).
+func TestNodesFindEachOtherBesideOddEntries(t *testing.T) {
+	s := newDeployment(t, safeRoute())
+	entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
+	entry.awaitServed("/read/")
+	for i := range 18 {
+		s.store.Write(fmt.Sprintf("members/%d", i), bytes.Repeat([]byte("["), 1_000_000))
+	}
+	entry.kill()
+	home.kill()
+	entry.run()
+	home.run()
+	home.sendHeartbeat("ready", http.StatusOK)
+	entry.awaitServed("/read/")
+}
+
 // A graceful shutdown must complete the requests in progress, from callers and
 // from other nodes.
 func TestGracefulShutdownCompletesRequests(t *testing.T) {
--- a/toucanmesh/startup.go
+++ b/toucanmesh/startup.go
@@ -68,7 +68,7 @@
 // are connected, for peerReportWait at most. Each of them reports what it knows about this
 // node when it connects.
 func (n *Node) awaitNeighbours(ctx context.Context) {
-	l, err := n.store.List(ctx, memberPrefix, toucanstore.Latest)
+	l, err := n.store.List(ctx, memberPrefix, toucanstore.Latest, n.isMember)
 	if err != nil {
 		n.log.Warn("list failed", "prefix", memberPrefix, "err", err)
 		sleep(ctx, peerReportWait)
--- a/toucanmesh/watch.go
+++ b/toucanmesh/watch.go
@@ -80,7 +80,7 @@
 // followMembers applies the members of the store and their changes.
 func (n *Node) followMembers(ctx context.Context) {
 	n.followPrefix(ctx, watchOptions{
-		prefix: memberPrefix, listDue: n.member.listDue.Load, timeout: memberWatchTimeout, batchDelay: memberBatchDelay,
+		prefix: memberPrefix, keep: n.isMember, listDue: n.member.listDue.Load, timeout: memberWatchTimeout, batchDelay: memberBatchDelay,
 		onList: n.applyMembers, onChange: n.applyMemberEvents,
 	})
 }
@@ -88,9 +88,10 @@
 // watchOptions describes how a node lists and watches a prefix of the store.
 type watchOptions struct {
 	prefix     string
-	listDue    func() bool   // reports whether the prefix must be listed even if this node is not a watcher
-	timeout    time.Duration // longest duration of a watch call
-	batchDelay time.Duration // between a change and the next watch call
+	keep       func(toucanstore.Item) bool // entries to list; nil for all
+	listDue    func() bool                 // reports whether the prefix must be listed even if this node is not a watcher
+	timeout    time.Duration               // longest duration of a watch call
+	batchDelay time.Duration               // between a change and the next watch call
 	onList     func(toucanstore.Listing)
 	onChange   func(toucanstore.Listing)
 }
@@ -103,7 +104,7 @@
 			sleep(ctx, watcherCheckInterval)
 			continue
 		}
-		l, err := n.store.List(ctx, o.prefix, toucanstore.Latest)
+		l, err := n.store.List(ctx, o.prefix, toucanstore.Latest, o.keep)
 		if err != nil {
 			n.log.Warn("list failed", "prefix", o.prefix, "err", err)
 			n.recordStoreHealth(err)
--- a/toucanstore/store.go
+++ b/toucanstore/store.go
@@ -46,8 +46,9 @@
 type Store interface {
 	// Get reads one key. If it does not exist, Get returns ErrNotFound.
 	Get(ctx context.Context, key string) (Item, error)
-	// List reads all keys under a prefix.
-	List(ctx context.Context, prefix string, f Freshness) (Listing, error)
+	// List reads the keys under a prefix for which keep returns true. The others take no
+	// memory, however many there are. A nil keep keeps all.
+	List(ctx context.Context, prefix string, f Freshness, keep func(Item) bool) (Listing, error)
 	// Watch returns the changes under a prefix after a revision. It waits until there is at
 	// least one, and returns none after wait. If the store no longer has the history after
 	// the revision, Watch returns ErrCompacted.
