toucanmesh: a stopping node takes no run that may outlast it

Callers: a run that may run again was still taken by twice the mean of recent runs. If it lasted longer, the end of the node cut it, and a node that was stopping too might not send it elsewhere in time. Fix: the deadline decides for all runs.

--- a/toucanmesh/stop.go
+++ b/toucanmesh/stop.go
@@ -19,9 +19,6 @@
 	// holds a node to its promise for requests from 3 s on.
 	maxDrainTime      = 2800 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
-	// runMargin is the multiple of the mean duration of a run that must be left before
-	// the node ends.
-	runMargin = 2
 	// minLeaveTime is the shortest time that other nodes have to receive the
 	// announcement that this node leaves.
 	minLeaveTime = 200 * time.Millisecond
@@ -99,18 +96,10 @@
 }
 
 // takesRun reports whether the node takes a call of another node. While it stops, it
-// takes none that may last beyond its end if the call may run only once: it could not be sent
-// elsewhere afterwards. It takes none that may run again if that is likely to last too long.
+// takes only one whose deadline is before its end; the other node sends the others elsewhere.
 func (n *Node) takesRun(c *toucanpeer.Call) bool {
 	end := n.end.Load()
-	switch {
-	case n.leaving.Load():
-		return false
-	case end == nil:
-		return true
-	}
-	remaining := end.Sub(n.clock.Now())
-	return c.Left <= remaining || c.Repeatable && runMargin*n.runner.Report().Duration <= remaining
+	return !n.leaving.Load() && (end == nil || c.Left <= end.Sub(n.clock.Now()))
 }
 
 // pendingRuns returns the number of calls that run or wait in the queue.
--- a/toucanmesh/stop_test.go
+++ b/toucanmesh/stop_test.go
@@ -264,7 +264,7 @@
 }
 
 // A stopping node must take no call of another node that may last beyond its end, whether or not
-// earlier ones were fast: a call that may run only once cannot be sent elsewhere afterwards.
+// earlier ones were fast: one that may run only once cannot be sent elsewhere afterwards.
 func TestStoppingNodeTakesNoRunThatOutlastsIt(t *testing.T) {
 	const duration = 2500 * time.Millisecond
 	for _, fastBefore := range []bool{false, true} {
