--- a/toucanmesh/stop_test.go
+++ b/toucanmesh/stop_test.go
@@ -317,6 +317,37 @@
 	}
 }
 
+// A request that a stopping node has passed on must not be cut by the end of another node that
+// began to stop before it, also if it may run again: there is no time left then to send it elsewhere.
+func TestStopDuringStopOfAnotherNode(t *testing.T) {
+	const duration = 2600 * time.Millisecond
+	route := safeRoute()
+	route.TimeoutS = 3
+	s := newDeployment(t, route)
+	entry, home, spare := s.startNode("a", "stock"), s.startNode("b", "orders"), s.startNode("c", "orders")
+	for _, m := range []*testNode{entry, home, spare} { // the mean duration of the runs becomes short
+		for range 30 {
+			m.awaitServed("/read/")
+		}
+	}
+	home.backend.SetAnswer(platformtest.RespondAfter(duration))
+	spare.backend.SetAnswer(platformtest.RespondAfter(duration))
+	var wg sync.WaitGroup
+	home.stopped, entry.stopped = true, true
+	wg.Go(home.Stop)
+	time.Sleep(time.Second)
+	wg.Go(entry.Stop)
+	time.Sleep(100 * time.Millisecond)
+	for i := range 10 {
+		wg.Go(func() {
+			if got := entry.send("GET", "/read/1", fmt.Sprintf("during-%d", i)); got.err != nil || got.status != http.StatusOK {
+				t.Errorf("request %d got status %d, error %v", i, got.status, got.err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // A node whose store does not answer must still end within its grace time, also with work
 // in progress.
 func TestStopEndsWithinGraceWithoutStore(t *testing.T) {
