toucanbackend: what came before a departure does not prove a start that it may have ended

Cause: a heartbeat that was held back before a departure still counted as the first of two after it, and the health checks that were left may all have begun before it. Two late heartbeats around the departure of a server with another id then put the earlier start into use, whose calls the server refuses.

--- a/toucanbackend/starts.go
+++ b/toucanbackend/starts.go
@@ -159,6 +159,12 @@
 	s.departed = append(s.departed, d)
 	s.departed = s.departed[max(0, len(s.departed)-maxDepartures):]
 	s.held = slices.DeleteFunc(s.held, func(h heldStart) bool { return h.start() == left })
+	s.checks = maxHealthChecks // heartbeats and health checks from before show nothing about this departure
+	for i, k := range s.held {
+		if !k.first.IsZero() {
+			s.held[i].first = now
+		}
+	}
 	current := s.server
 	if current.start() == left {
 		s.server.Left = true
--- a/toucanbackend/starts_rapid_test.go
+++ b/toucanbackend/starts_rapid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -169,12 +170,10 @@
 			t.Skip()
 		}
 	}
-	t.Repeat(map[string]func(*rapid.T){
+	actions := map[string]func(*rapid.T){
 		"restart": func(t *rapid.T) { need(len(s.all) < maxDepartures); s.restart(t) },
 		"crash":   func(t *rapid.T) { s.alive = nil },
-		"ping":    func(t *rapid.T) { need(s.alive != nil); s.ping() },
 		"leave":   func(t *rapid.T) { need(s.alive != nil); s.leave() },
-		"deliver": func(t *rapid.T) { need(len(s.inFlight) > 0); s.deliver(t) },
 		"call":    func(t *rapid.T) { s.call() },
 		"restart_node": func(t *rapid.T) {
 			s.restartNode(t)
@@ -192,7 +191,12 @@
 				t.Fatalf("server %v is in use as %v, although its departure was acknowledged", s.alive.start, s.starts.server.start())
 			}
 		},
-	})
+	}
+	for i := range 3 { // heartbeats are the most frequent messages
+		actions[fmt.Sprint("ping", i)] = func(t *rapid.T) { need(s.alive != nil); s.ping() }
+		actions[fmt.Sprint("deliver", i)] = func(t *rapid.T) { need(len(s.inFlight) > 0); s.deliver(t) }
+	}
+	t.Repeat(actions)
 	for len(s.inFlight) > 0 {
 		s.deliver(t)
 	}
--- a/toucanbackend/starts_test.go
+++ b/toucanbackend/starts_test.go
@@ -86,6 +86,8 @@
 			heartbeat(8, first, Held, "").later(20 * time.Second), failedHealthCheck("i-1", ""), heartbeat(9, first, Held, "").later(2 * time.Minute)}},
 		{"earlier_starts_after_departure_no_health_check", []startsStep{heartbeat(7, third, Restarted, "i-1"), departure(third, ""),
 			heartbeat(8, first, Held, ""), heartbeat(9, first, Held, "").later(interval), heartbeat(8, second, Held, ""), heartbeat(9, second, Held, "").later(interval)}},
+		{"heartbeats_around_departure", []startsStep{heartbeat(7, first, Restarted, "i-1"), departure(first, ""), heartbeat(1, otherBack, Held, ""),
+			departure(second, "").later(time.Second), heartbeat(2, otherBack, Held, "").later(time.Millisecond), heartbeat(3, otherBack, Restarted, "i-2").later(interval)}},
 		{"late_departure_of_earlier_start", []startsStep{heartbeat(7, first, Restarted, "i-1"), heartbeat(1, second, Restarted, "i-1"), departure(first, ""),
 			healthCheck("i-1", "i-1"), departure(first, "i-1"), heartbeat(2, second, Current, "i-1")}},
 		{"late_departure_of_unheard_later_start", []startsStep{heartbeat(7, first, Restarted, "i-1"), departure(other, ""), heartbeat(8, first, Held, ""), healthCheck("i-1", "i-1")}},
