platformtest, cmd/toucanhaven: the soak restarts servers under their id and sends late heartbeats

Every other replacement keeps the id of the server, and a heartbeat of the start before arrives after the acknowledged departure of the one that drains.

--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -427,7 +427,8 @@
 }
 
 // replaceServer drains the backend server of a node and then replaces it by a new
-// instance. It checks that no request reaches the drained server.
+// instance, or by one with the same id. Heartbeats of the start before arrive late. It checks
+// that no request reaches the drained server.
 func (s *testDeployment) replaceServer(n *testNode) {
 	n.mu.Lock()
 	if !n.departedAt.IsZero() {
@@ -450,7 +451,9 @@
 	if !acknowledged {
 		return
 	}
+	n.backend.SendLateHeartbeat(n.control) // an unreachable node gets none
 	time.Sleep(soakDepartureDelay)
+	n.backend.SendLateHeartbeat(n.control)
 	before := n.backend.RequestCount()
 	time.Sleep(500 * time.Millisecond)
 	if late := n.backend.RequestCount() - before; late > 0 {
@@ -459,7 +462,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.replacements++
-	n.backend.Restart(fmt.Sprintf("i-%s-%d", n.name, n.replacements))
+	n.backend.Restart(fmt.Sprintf("i-%s-%d", n.name, n.replacements/2)) // every other one has the id of the one before
 	n.departedAt = time.Time{}
 }
 
