--- a/toucanbackend/starts.go
+++ b/toucanbackend/starts.go
@@ -19,7 +19,8 @@
 	// freshHeartbeatShare is a share of the heartbeat interval. A further heartbeat that
 	// arrives at least this long after the first one counts as sent after it.
 	freshHeartbeatShare = 0.6
-	// maxHealthChecks bounds the health checks for a start after it was first heard of.
+	// maxHealthChecks bounds the health checks for a start after it was first held back and after
+	// each departure; then there is one for each of its heartbeats.
 	maxHealthChecks = 4
 )
 
@@ -32,7 +33,7 @@
 	// Restarted means that the heartbeat is of a new start of the server and was
 	// applied.
 	Restarted Verdict = "restarted"
-	// Late means that the message is older than the current state and was ignored.
+	// Late means that the message does not change which server is in use.
 	Late Verdict = "late"
 	// Held means that the heartbeat is of a start that may have ended. It takes effect
 	// once the server has shown that it takes calls.
@@ -51,11 +52,11 @@
 	at time.Time // when the departure became known
 }
 
-// mayHaveEnded reports whether a start s has ended if the departure is the later one. The
-// servers beside a node follow each other at one address, so a departure ends every start
-// before it. The start times give that order, but the clock behind them may have been set
-// back. A server refuses a call that is meant for another id, so only a start with the
-// same id is doubted whatever its start time is.
+// mayHaveEnded reports whether the start s may be an earlier one than d. The servers beside a
+// node follow each other at one address, so a departure ends every start before it. The start
+// times give that order, but the clock behind them may have been set back. A server refuses a
+// call that is meant for another id, so only a start with the id of d is doubted whatever its
+// start time is.
 func (d departedStart) mayHaveEnded(s start) bool {
 	return s != d.start && (s.instance == d.instance || s.born < d.born)
 }
