--- a/toucanmesh/departure_test.go
+++ b/toucanmesh/departure_test.go
@@ -91,14 +91,12 @@
 			s := newDeployment(t, safeRoute())
 			entry, home := s.startNode("a", "stock"), s.startNode("b", "orders")
 			entry.awaitServed("/read/")
-			earlier, born := home.backend.Instance, home.backend.Born
 			home.backend.Restart(instance)
 			home.awaitDeparture()
 			expectNoCalls(t, entry, home, 500*time.Millisecond)
-			newInstance, newBorn := home.backend.Instance, home.backend.Born
-			home.backend.Instance, home.backend.Born = earlier, born
-			home.sendHeartbeat("ready", http.StatusOK)
-			home.backend.Instance, home.backend.Born = newInstance, newBorn
+			if status, err := home.backend.SendLateHeartbeat(home.settings.ControlAddress); err != nil || status != http.StatusOK {
+				t.Errorf("late heartbeat was answered %d, error %v", status, err)
+			}
 			expectNoCalls(t, entry, home, 500*time.Millisecond)
 		})
 	}
