toucanbackend: plainer names, one rule for late heartbeats

Reading the diff: the test said ping for a heartbeat, and the comparison of sequence numbers was written twice. A draining heartbeat with the sequence number 0 of a start that is known only from a record counted as late and was acknowledged without effect; the shared rule applies it.

--- a/toucanbackend/starts.go
+++ b/toucanbackend/starts.go
@@ -123,7 +123,7 @@
 func (s *starts) use(h Heartbeat, now time.Time) Verdict {
 	verdict := Restarted
 	if h.start() == s.server.start() {
-		if h.Sequence <= s.server.Sequence && s.server.Sequence != 0 {
+		if s.isLate(h) {
 			return Late
 		}
 		verdict = Current
@@ -133,9 +133,15 @@
 	return verdict
 }
 
+// isLate reports whether a heartbeat of the start in use was sent before the newest one. A start
+// that is known from a record or from its departure only has no newest one.
+func (s *starts) isLate(h Heartbeat) bool {
+	return s.server.Sequence != 0 && h.Sequence <= s.server.Sequence
+}
+
 // observeDraining applies a heartbeat of a server that is about to leave.
 func (s *starts) observeDraining(h Heartbeat, now time.Time) Verdict {
-	if h.start() == s.server.start() && !s.server.Left && h.Sequence <= s.server.Sequence {
+	if h.start() == s.server.start() && !s.server.Left && s.isLate(h) {
 		return Late // it reported later that it is ready
 	}
 	s.markLeft(h.start(), now)
--- a/toucanbackend/starts_rapid_test.go
+++ b/toucanbackend/starts_rapid_test.go
@@ -59,8 +59,8 @@
 	s.all = append(s.all, s.alive)
 }
 
-// ping sends a heartbeat of the server that runs.
-func (s *simulation) ping() {
+// sendHeartbeat sends a heartbeat of the server that runs.
+func (s *simulation) sendHeartbeat() {
 	state := Ready
 	if s.alive.leaving {
 		state = Draining
@@ -193,7 +193,7 @@
 		},
 	}
 	for i := range 3 { // heartbeats are the most frequent messages
-		actions[fmt.Sprint("ping", i)] = func(t *rapid.T) { need(s.alive != nil); s.ping() }
+		actions[fmt.Sprint("heartbeat", i)] = func(t *rapid.T) { need(s.alive != nil); s.sendHeartbeat() }
 		actions[fmt.Sprint("deliver", i)] = func(t *rapid.T) { need(len(s.inFlight) > 0); s.deliver(t) }
 	}
 	t.Repeat(actions)
@@ -204,7 +204,7 @@
 		s.restart(t)
 	}
 	for i := range 8 {
-		s.ping()
+		s.sendHeartbeat()
 		s.deliver(t)
 		s.call()
 		if i >= 4 && !s.serves() {
