toucanbackend, toucanmesh: split and rename what a newcomer stumbled over

Reading the diff: a departure returned a verdict that only chose a log line, which was wrong for a repeated departure; it returns none now. The state of the node's checks was named after its start, and is used all the time; it is proofState. Beginning the proofs anew is a function of its own.

--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -116,14 +116,15 @@
 }
 
 // Observe applies a heartbeat.
-func (r *Runner) Observe(h Heartbeat) Verdict {
-	return r.updateStarts(func(s *starts) Verdict { return s.observe(h, r.clock.Now()) })
+func (r *Runner) Observe(h Heartbeat) (v Verdict) {
+	r.updateStarts(func(s *starts) { v = s.observe(h, r.clock.Now()) })
+	return v
 }
 
 // MarkLeft records that a server announced its departure. It may be a server of which
 // no heartbeat has arrived yet.
-func (r *Runner) MarkLeft(instance string, born int64) Verdict {
-	return r.updateStarts(func(s *starts) Verdict { return s.markLeft(start{instance, born}, r.clock.Now()) })
+func (r *Runner) MarkLeft(instance string, born int64) {
+	r.updateStarts(func(s *starts) { s.markLeft(start{instance, born}, r.clock.Now()) })
 }
 
 // HasLeft reports whether a start of a server announced its departure.
@@ -143,10 +144,7 @@
 // Recall holds a server back of which another node or the store has a record. It is used
 // without a heartbeat once a health check shows that it takes calls.
 func (r *Runner) Recall(h Heartbeat) {
-	r.updateStarts(func(s *starts) Verdict {
-		s.recall(h)
-		return Held
-	})
+	r.updateStarts(func(s *starts) { s.recall(h) })
 }
 
 // TakeHealthCheck reports whether a health check is due, because a server is held back until
@@ -163,28 +161,27 @@
 	asked := r.clock.Now()
 	instance, err = r.CheckHealth(ctx, address, path)
 	var failing *failingError
-	r.updateStarts(func(s *starts) Verdict {
+	r.updateStarts(func(s *starts) {
 		switch {
 		case err == nil:
 			s.prove(healthAnswer{instance, address, asked}, r.clock.Now())
 		case errors.As(err, &failing):
 			s.failing = healthAnswer{failing.instance, address, asked}
 		}
-		return Current
 	})
 	return instance, err
 }
 
 // updateStarts calls f and acts on the change of the server.
-func (r *Runner) updateStarts(f func(*starts) Verdict) Verdict {
+func (r *Runner) updateStarts(f func(*starts)) {
 	r.mu.Lock()
 	before := r.starts.server
 	r.starts.heartbeat = r.heartbeatInterval()
-	verdict := f(&r.starts)
+	f(&r.starts)
 	after := r.starts.server
 	r.mu.Unlock()
 	if after == before {
-		return verdict
+		return
 	}
 	if after.Slots > 0 && after.Slots != before.Slots {
 		r.limiter.setSlots(after.Slots)
@@ -198,7 +195,6 @@
 	if before.Serving() != after.Serving() || before.start() != after.start() || before.Slots != after.Slots {
 		r.onChange(after)
 	}
-	return verdict
 }
 
 // Report returns the load and the state of the backend server.
@@ -442,12 +438,10 @@
 // clearServer removes the server s after another server answered at its address.
 // The next heartbeat sets it again.
 func (r *Runner) clearServer(s Server) {
-	r.updateStarts(func(known *starts) Verdict {
-		if known.server.start() != s.start() {
-			return Late
+	r.updateStarts(func(known *starts) {
+		if known.server.start() == s.start() {
+			known.clear()
 		}
-		known.clear()
-		return Restarted
 	})
 }
 
--- a/toucanbackend/starts.go
+++ b/toucanbackend/starts.go
@@ -24,7 +24,7 @@
 	maxHealthChecks = 4
 )
 
-// Verdict is the effect of a heartbeat or a departure. The set is closed.
+// Verdict is the effect of a heartbeat. The set is closed.
 type Verdict string
 
 const (
@@ -158,34 +158,37 @@
 
 // markLeft applies the departure of a start, of which the node may not have heard. A start
 // in use that it may have ended is not used any more.
-func (s *starts) markLeft(left start, now time.Time) Verdict {
+func (s *starts) markLeft(left start, now time.Time) {
 	if s.hasLeft(left) {
-		return Late
+		return
 	}
 	d := departedStart{left, now}
 	s.departed = append(s.departed, d)
 	s.departed = s.departed[max(0, len(s.departed)-maxDepartures):]
+	s.restartProofs(left, now)
+	current := s.server
+	switch {
+	case current.start() == left:
+		s.server.Left = true
+	case current.Serving() && d.mayHaveEnded(current.start()):
+		s.server = Server{Heartbeat: current.Heartbeat, HeardAt: now, Left: true}
+		s.server.Instance, s.server.Born, s.server.Sequence = left.instance, left.born, 0
+		if left.born < current.Born { // probably a late message of an earlier start
+			s.hold(current.Heartbeat, now)
+		}
+	}
+}
+
+// restartProofs begins the proofs of the starts that are held back anew: the heartbeats and
+// health checks before a departure show nothing about it.
+func (s *starts) restartProofs(left start, now time.Time) {
 	s.held = slices.DeleteFunc(s.held, func(h heldStart) bool { return h.start() == left })
-	s.checks = maxHealthChecks // heartbeats and health checks from before show nothing about this departure
+	s.checks = maxHealthChecks
 	for i, k := range s.held {
 		if !k.first.IsZero() {
 			s.held[i].first = now
 		}
 	}
-	current := s.server
-	if current.start() == left {
-		s.server.Left = true
-		return Current
-	}
-	if !current.Serving() || !d.mayHaveEnded(current.start()) {
-		return Late
-	}
-	s.server = Server{Heartbeat: current.Heartbeat, HeardAt: now, Left: true}
-	s.server.Instance, s.server.Born, s.server.Sequence = left.instance, left.born, 0
-	if left.born < current.Born { // probably a late message of an earlier start
-		s.hold(current.Heartbeat, now)
-	}
-	return Current
 }
 
 func (s *starts) hasLeft(of start) bool {
--- a/toucanmesh/config.go
+++ b/toucanmesh/config.go
@@ -56,7 +56,7 @@
 	}
 	n.config.data, n.config.version = data, t.Version
 	n.entry.Table.Store(t)
-	wake(n.startup.changed) // the path of the health check may be known now
+	wake(n.proof.changed) // the path of the health check may be known now
 	n.log.Info("configuration in force", "version", t.Version, "source", source, "routes", len(t.Routes))
 	return true
 }
--- a/toucanmesh/departure.go
+++ b/toucanmesh/departure.go
@@ -26,7 +26,7 @@
 		n.log.Info("late heartbeat", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence, "state", string(h.State))
 	case toucanbackend.Held:
 		n.log.Info("heartbeat held back", "instance", h.Instance, "born", h.Born, "sequence", h.Sequence)
-		wake(n.startup.changed)
+		wake(n.proof.changed)
 	}
 	if h.State != toucanbackend.Draining || !n.runner.HasLeft(h.Instance, h.Born) {
 		return nil // a draining start may have reported later that it is ready
@@ -49,8 +49,6 @@
 
 // markLeft marks a start of a backend server as departed.
 func (n *Node) markLeft(instance string, born int64) {
-	if n.runner.MarkLeft(instance, born) == toucanbackend.Late {
-		n.log.Info("departure of another server", "instance", instance, "born", born)
-	}
-	wake(n.startup.changed) // a start that it may have ended must prove that it has not
+	n.runner.MarkLeft(instance, born)
+	wake(n.proof.changed) // a start that it may have ended must prove that it has not
 }
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -95,7 +95,7 @@
 	messages  toucanpeer.MessageMemory
 	config    config
 	member    registration
-	startup   startupState
+	proof     proofState
 	recording recording
 	witnessed witnessedDepartures
 	metrics   *meter
@@ -132,7 +132,7 @@
 		RetryBudget:  n.retryBudget(backendRetryRatioShare, backendRetrySlackShare),
 		CountServing: func(service string) int { return n.fleet.CountServing(service) },
 	})
-	n.startup.changed = make(chan struct{}, 1)
+	n.proof.changed = make(chan struct{}, 1)
 	n.member.wakeup, n.member.oddEntries = make(chan struct{}, 1), make(map[string]uint64)
 	n.recording.started = make(map[departure]*recordedDeparture)
 	n.fleet = toucanfleet.New(toucanfleet.Options{
--- a/toucanmesh/recording.go
+++ b/toucanmesh/recording.go
@@ -63,7 +63,7 @@
 //
 // What other nodes remember ends with their processes. After that this node still does not
 // use the server again, because only the server itself can show that it takes calls; see
-// startupState.
+// proofState.
 func (n *Node) recordDeparture(d departure) error {
 	t := time.NewTimer(departureAckTimeout)
 	defer t.Stop()
--- a/toucanmesh/startup.go
+++ b/toucanmesh/startup.go
@@ -24,13 +24,13 @@
 	healthRetryDelay = 250 * time.Millisecond
 )
 
-// startupState is what a node knows about its backend server before it may use the
-// server. An earlier start of the node may have acknowledged a departure that is
-// recorded nowhere any more, because the store was down and all nodes have ended since. So
-// neither the store nor another node can show that the server has not left, only
-// the server itself: by a health check, or by going on to report that it is ready.
-type startupState struct {
-	changed   chan struct{} // signals a change to proveServers
+// proofState is what a node needs to know to check whether its backend server takes calls. An
+// earlier start of the node may have acknowledged a departure that is recorded nowhere any more,
+// because the store was down and all nodes have ended since. So neither the store nor another
+// node can show that the server has not left, only the server itself: by a health check, or by
+// going on to report that it is ready.
+type proofState struct {
+	changed   chan struct{} // signals to proveServers that a check may be due
 	storeRead atomic.Bool   // departures in the store are known
 }
 
@@ -107,9 +107,9 @@
 }
 
 func (n *Node) markStoreRead(departed ...departure) {
-	n.startup.storeRead.Store(true)
+	n.proof.storeRead.Store(true)
 	n.log.Info("departures known", "departed", fmt.Sprint(departed))
-	wake(n.startup.changed)
+	wake(n.proof.changed)
 }
 
 // handlePeerReply handles what another node knows about this one.
@@ -135,7 +135,7 @@
 	n.runner.Recall(toucanbackend.Heartbeat{
 		Instance: m.Instance, Service: m.Service, Address: s.BackendAddress, Slots: m.Slots, State: toucanbackend.Ready, Born: m.Born,
 	})
-	wake(n.startup.changed)
+	wake(n.proof.changed)
 }
 
 // proveServers checks the health of the backend server while a start of it is held back
@@ -167,7 +167,7 @@
 		interval = t.C
 	}
 	select {
-	case <-n.startup.changed:
+	case <-n.proof.changed:
 	case <-interval:
 	case <-ctx.Done():
 	}
@@ -176,7 +176,7 @@
 // departuresKnown reports whether the departures that others remember are known, or cannot
 // be known now.
 func (n *Node) departuresKnown() bool {
-	return n.startup.storeRead.Load() || n.store.isUnreachable() && n.clock.Now().Sub(n.started) >= peerReportWait
+	return n.proof.storeRead.Load() || n.store.isUnreachable() && n.clock.Now().Sub(n.started) >= peerReportWait
 }
 
 func (n *Node) healthPath() string {
