toucanbackend: broken responses are neither answers nor refusals

Callers of toucanhaven mesh got status 200 for a response with the line "X A: v", and with it that line. With "Content-Length : 2" they got all bytes that came until the connection ended. A broken 503 with X-Not-Executed or a broken 421 counted as the promise that a call did not run, so that it was sent to another server.

Cause: http.ReadResponse accepts a blank in a field name, any three digits as a status and more. All responses are read by toucanresponse now; what it refuses has the outcome unknown, and 502 at the caller.

On TestBrokenResponse fails in 64 of 214 cases, with status 200 at the caller, and TestBrokenResponseIsNotAnswered in 96 of 321. None fails now, and all sound forms reach the caller.

--- a/toucanbackend/exchange.go
+++ b/toucanbackend/exchange.go
@@ -13,6 +13,7 @@
 	"toucanhaven/toucanconn"
 	"toucanhaven/toucanmemory"
 	"toucanhaven/toucanpeer"
+	"toucanhaven/toucanresponse"
 )
 
 const (
@@ -198,7 +199,7 @@
 	if err := conn.LimitHeader(); err != nil {
 		return nil, nil, err
 	}
-	if hr, err = http.ReadResponse(conn.R, &http.Request{Method: method}); err != nil {
+	if hr, err = toucanresponse.Read(conn.R, method); err != nil {
 		return nil, nil, err
 	}
 	held := conn.RemoveHeaderLimit()
@@ -208,8 +209,6 @@
 		}
 	}()
 	switch {
-	case toucanconn.ContainsStatusLine(hr):
-		return nil, nil, toucanconn.ErrStatusLineInHeader
 	case hr.StatusCode == http.StatusSwitchingProtocols:
 		return nil, nil, errSwitchingProtocols
 	case hr.StatusCode < 200:
