toucanbackend: broken responses to health checks show nothing

A server whose health check was answered with a broken 200 counted as one that takes calls, and with a broken 503 as one that leaves. Behind an interim response a sound 200 did not count.

Cause: the check read the first head with http.ReadResponse, without even the look for a status line within it, and nothing behind it. It reads the whole response now, as calls do.

--- a/toucanbackend/export_test.go
+++ b/toucanbackend/export_test.go
@@ -1,5 +1,7 @@
 package toucanbackend
 
+import "errors"
+
 // Forget removes the result of an ended call, so that its id can run again. A call is sent
 // again under the same id to another node; this makes one node stand for both.
 func (r *Runner) Forget(id string) {
@@ -10,3 +12,10 @@
 		delete(r.runs, id)
 	}
 }
+
+// IsFailing reports whether an error of CheckHealth says that the server is leaving or
+// failing.
+func IsFailing(err error) bool {
+	var failing *failingError
+	return errors.As(err, &failing)
+}
--- a/toucanbackend/health.go
+++ b/toucanbackend/health.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"toucanhaven/toucanconn"
 )
 
 // healthTimeout limits a health check. The check waits for a slot like any other request.
@@ -43,21 +45,29 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, address); err != nil {
 		return "", err
 	}
-	if err := conn.LimitHeader(); err != nil {
-		return "", err
-	}
-	resp, err := http.ReadResponse(conn.R, &http.Request{Method: http.MethodGet})
+	resp, err := r.readFinalResponse(conn)
 	if err != nil {
 		return "", err
 	}
+	r.bodies.Release(resp.held)
 	switch {
-	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(r.names.NotRun) == "":
-		return "", &failingError{resp.Header.Get(r.names.InstanceID)}
-	case resp.StatusCode != http.StatusOK: // 503 if the server is full
-		return "", fmt.Errorf("status %d", resp.StatusCode)
+	case resp.status == http.StatusServiceUnavailable && resp.header.Get(r.names.NotRun) == "":
+		return "", &failingError{resp.header.Get(r.names.InstanceID)}
+	case resp.status != http.StatusOK: // 503 if the server is full
+		return "", fmt.Errorf("status %d", resp.status)
 	}
-	if instance = resp.Header.Get(r.names.InstanceID); instance == "" {
+	if instance = resp.header.Get(r.names.InstanceID); instance == "" {
 		return "", errNoInstanceID
 	}
 	return instance, nil
 }
+
+// readFinalResponse reads the response to a health check. It skips informational responses.
+func (r *Runner) readFinalResponse(conn *toucanconn.Conn) (*response, error) {
+	for range maxSkippedResponses {
+		if _, resp, err := r.readOneResponse(conn, http.MethodGet); resp != nil || err != nil {
+			return resp, err
+		}
+	}
+	return nil, errTooManySkipped
+}
--- a/toucanbackend/health_test.go
+++ b/toucanbackend/health_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"toucanhaven/toucanbackend"
+	"toucanhaven/toucanresponse/toucanresponsetest"
 )
 
 // Only an answer with status 200 and an instance id may show that a server takes calls, and
@@ -53,3 +56,40 @@
 		is.True(time.Since(began) < 500*time.Millisecond)
 	})
 }
+
+// A broken response to a health check must show neither that the server takes calls nor that
+// it is leaving.
+func TestBrokenHealthResponse(t *testing.T) {
+	for _, c := range toucanresponsetest.Broken() {
+		for _, status := range []string{"200 OK", "503 Service Unavailable"} {
+			t.Run(c.Name+"/"+status[:3], func(t *testing.T) {
+				got, err := checkHealth(t, c, status)
+				if got != "" || err == nil || toucanbackend.IsFailing(err) {
+					t.Errorf("got instance %q and error %v", got, err)
+				}
+			})
+		}
+	}
+}
+
+// A sound response to a health check must be taken, in whichever of the allowed forms it comes.
+func TestSoundHealthResponse(t *testing.T) {
+	for _, c := range toucanresponsetest.Sound() {
+		if c.OwnStatus() {
+			continue
+		}
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := checkHealth(t, c, "200 OK")
+			is.NoErr(err)
+			is.Equal(got, "i-1")
+			_, err = checkHealth(t, c, "503 Service Unavailable")
+			is.True(toucanbackend.IsFailing(err))
+		})
+	}
+}
+
+func checkHealth(t *testing.T, c toucanresponsetest.Case, status string) (instance string, err error) {
+	r := respondingRunner(t, c.Response(status, "X-Instance-Id: i-1\r\n", "ok"))
+	return r.CheckHealth(context.Background(), r.Server().Address, "/health")
+}
