toucannode: a refusal that breaks off promises nothing

Callers of toucanhaven node got not_run with status 503 for a refusal of the backend server whose body was cut or was not in chunks as announced.

Cause: the head of the refusal was taken and the error of its body dropped. The body is read to its end now, and the outcome is unknown if that fails. As before, the end of a refusal without a length or chunks is not waited for.

--- a/toucannode/cut_test.go
+++ b/toucannode/cut_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// TestCutRefusalPromisesNothing guards against a refusal of a backend server that ended early
+// and reaches the caller as the promise that the request did not run.
+func TestCutRefusalPromisesNothing(t *testing.T) {
+	for _, tt := range []struct{ name, answer string }{
+		{"length", "HTTP/1.1 503 Busy\r\nToucan-Not-Run: true\r\nContent-Length: 5\r\n\r\nlater"},
+		{"chunked", "HTTP/1.1 503 Busy\r\nToucan-Not-Run: true\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nlater\r\n0\r\n\r\n"},
+	} {
+		for _, reset := range []bool{false, true} {
+			for _, hops := range []int{1, 2} {
+				t.Run(fmt.Sprintf("%s/reset=%v/%d", tt.name, reset, hops), func(t *testing.T) {
+					t.Parallel()
+					s := &cuttingServer{answer: tt.answer, reset: reset}
+					entry := newTestFleet(t).startHops(newScriptedBackend(t, s.serve), hops)
+					for size := range len(tt.answer) {
+						s.checkCut(t, entry, "POST", size)
+					}
+					s.size.Store(int64(len(tt.answer)))
+					if got := rawExchange(t, entry, "POST", "1.1"); got.outcome != "not_run backend_refused" {
+						t.Errorf("whole: the caller got %+v", got)
+					}
+				})
+			}
+		}
+	}
+}
+
 // startHops starts a node beside a backend server, and with two hops an entry before it. It
 // returns the node that callers use.
 func (f *testFleet) startHops(b net.Listener, hops int) *Node {
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -301,11 +302,7 @@
 		return r.finish(rep)
 	}
 	if saysNotRun(x.resp) {
-		rep := n.bufferAnswer(ctx, r.call.Deadline, x, out, true)
-		if rep.rest != nil {
-			rep.rest.finish(out.body)
-		}
-		return r.finish(notRunReply(toucancall.ReasonBackendRefused, ""))
+		return r.finish(n.readRefusal(ctx, x, out))
 	}
 	rep := n.bufferAnswer(ctx, r.call.Deadline, x, out, r.keyedRun != nil)
 	if rep.rest == nil && rep.refusal == nil {
@@ -332,6 +329,20 @@
 	return refusalReply(toucancall.Unknown, toucancall.ReasonConnectionLost, "the answer names another call")
 }
 
+// readRefusal reads the rest of an answer that says the call was not run. The end of one that
+// has neither a length nor chunks cannot be verified and is not waited for.
+func (n *Node) readRefusal(ctx context.Context, x *exchange, out *outgoingRequest) *reply {
+	var err error
+	if x.resp.ContentLength >= 0 || len(x.resp.TransferEncoding) > 0 {
+		_, err = io.Copy(io.Discard, readerFunc(x.readBody))
+	}
+	x.finish(out.body)
+	if err != nil {
+		return refusalReply(toucancall.Unknown, n.interruptionReason(ctx, err), "the refusal broke off")
+	}
+	return notRunReply(toucancall.ReasonBackendRefused, "")
+}
+
 // saysNotRun reports whether the backend server says that it did not run the call.
 func saysNotRun(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(toucancall.HeaderNotRun) == "true"
