toucannode: broken answers are neither answers nor refusals

Callers of toucanhaven node got status 200 for an answer with "X A: v" and not_run for such a refusal, of backend servers as of other nodes. A status below 100 counted as an interim answer: http.Server panics on it, the caller's connection ended without an outcome, and the slot of the call was never released, so that the node refused all later calls with not_run deadline once its slots were used up.

Cause: http.ReadResponse accepts such heads. All answers are read by toucanresponse now, which has taken over the look for a status line within a head from toucanconn. Statuses that reach the caller are from 100 to 599.

On TestBrokenAnswerIsNotWhole fails for 60 of 214 answers of a node; behind one and two nodes at a backend server it does not end within 190 s, as calls wait for slots that are lost. It passes now in 0.3 s, and all sound forms reach the caller whole.

--- a/toucannode/exchange.go
+++ b/toucannode/exchange.go
@@ -16,6 +16,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanconn"
+	"toucanhaven/toucanresponse"
 )
 
 // outgoingRequest is a request as it is sent to the next hop.
@@ -189,13 +190,11 @@
 		return nil, 0, err
 	}
 	for {
-		resp, err := http.ReadResponse(c.R, &http.Request{Method: method})
+		resp, err := toucanresponse.Read(c.R, method)
 		if err != nil {
 			return nil, 0, err
 		}
 		switch {
-		case toucanconn.ContainsStatusLine(resp):
-			return nil, 0, toucanconn.ErrStatusLineInHeader
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, 0, errUpgrade
 		case resp.StatusCode >= 200:
