toucancaller: a refusal that breaks off promises nothing

Do returned Refused for a response with the outcome not_run whose body was cut. The error of the body was looked at for answers only.

TestOutcomes/truncated_refusal fails without the change: Refused overload, want Unknown connection_lost.

--- a/toucancaller/caller_test.go
+++ b/toucancaller/caller_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -153,6 +154,7 @@
 	refusedOverload, refusedNotForwarded := Refused{Reason: toucancall.ReasonOverload}, Refused{Reason: toucancall.ReasonNotForwarded}
 	connectionLost := Unknown{Reason: toucancall.ReasonConnectionLost}
 	head := "HTTP/1.1 200 OK\r\nToucan-Outcome: answered\r\n"
+	refusal := "HTTP/1.1 503 Busy\r\nToucan-Outcome: not_run\r\nToucan-Reason: overload\r\nContent-Length: 2\r\n\r\nno"
 	failed := Failed{Reason: toucancall.ReasonConnectionLost}
 	tests := []struct {
 		name     string
@@ -179,6 +181,8 @@
 		{"refused_caller_key_is_not_retried", 3, newKeyOrder, []http.HandlerFunc{respondRefused}, refusedOverload, 1},
 		{"truncated_length", 0, unkeyedOrder, []http.HandlerFunc{respondRaw(head + "Content-Length: 9\r\n\r\nshort")}, failed, 1},
 		{"truncated_chunks", 0, unkeyedOrder, []http.HandlerFunc{respondRaw(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n")}, failed, 1},
+		{"truncated_refusal", 0, unkeyedOrder, []http.HandlerFunc{respondRaw(strings.TrimSuffix(refusal, "no"))}, connectionLost, 1},
+		{"whole_refusal", 0, unkeyedOrder, []http.HandlerFunc{respondRaw(refusal)}, refusedOverload, 1},
 		{"end_not_known", 0, unkeyedOrder, []http.HandlerFunc{respondRaw(head + "Connection: close\r\n\r\nshort")}, failed, 1},
 		{"no_outcome", 0, unkeyedOrder, []http.HandlerFunc{respondRaw("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, connectionLost, 1},
 		{"no_response", 0, newKeyOrder, []http.HandlerFunc{respondRaw("")}, connectionLost, 1},
--- a/toucancaller/exchange.go
+++ b/toucancaller/exchange.go
@@ -185,10 +185,14 @@
 func (c *Client) readAnswer(response *http.Response, method string) Answer {
 	defer response.Body.Close()
 	body, err := c.readBody(response)
+	tooLarge := errors.Is(err, toucanmemory.ErrTooLarge) || errors.Is(err, toucanmemory.ErrExhausted)
 	reason := toucancall.Reason(response.Header.Get(toucancall.HeaderReason))
 	switch toucancall.Outcome(response.Header.Get(toucancall.HeaderOutcome)) {
 	case toucancall.Answered:
 	case toucancall.NotRun:
+		if err != nil && !tooLarge {
+			return Unknown{Reason: toucancall.ReasonConnectionLost} // the refusal broke off
+		}
 		return Refused{Reason: reason, RetryAfter: parseRetryAfter(response.Header)}
 	case toucancall.Failed:
 		return Failed{Reason: reason}
@@ -200,7 +204,7 @@
 		return Unknown{Reason: toucancall.ReasonConnectionLost}
 	}
 	switch {
-	case errors.Is(err, toucanmemory.ErrTooLarge), errors.Is(err, toucanmemory.ErrExhausted):
+	case tooLarge:
 		return Failed{Reason: toucancall.ReasonTooLarge}
 	case err != nil || !bodyEndKnown(response, method):
 		return Failed{Reason: toucancall.ReasonConnectionLost}
