toucancaller: broken responses are neither answers nor refusals

Do returned an answer or Refused for responses that http.Transport reads without an error though they are not HTTP: a blank in a field name, a status of 000, a folded length. Keys were taken from the first JSON value of a response, whatever followed it.

The transport is behind toucanresponse.Checked now, and the response with keys is read whole.

--- a/toucancaller/caller.go
+++ b/toucancaller/caller.go
@@ -15,6 +15,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanmemory"
+	"toucanhaven/toucanresponse"
 )
 
 // Defaults of a Client.
@@ -135,7 +136,9 @@
 		http: &http.Client{
 			// The transport must not decompress responses: the caller gets them
 			// unchanged.
-			Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnsPerEntry, MaxResponseHeaderBytes: maxAnswerHeaderBytes},
+			Transport: toucanresponse.Checked(&http.Transport{
+				DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnsPerEntry, MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+			}),
 			// A redirect is a response of the backend server. Following it would
 			// send a second request.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/toucancaller/keys.go
+++ b/toucancaller/keys.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanmemory"
 	"toucanhaven/toucanonce"
 )
 
@@ -125,7 +125,11 @@
 		return nil, errors.New(response.Status)
 	}
 	var answer keysAnswer
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxKeysAnswerBytes)).Decode(&answer); err != nil {
+	data, err := toucanmemory.ReadLimited(response.Body, maxKeysAnswerBytes)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
 		return nil, err
 	}
 	for _, text := range answer.Keys {
