platform, toucankv: broken responses of the store say nothing

A broken 200 or 412 of the store counted as the result of a write, a broken 503 or 429 as the word that it had none; broken pages counted as read.

Cause: http.Transport reads such responses without an error.

Sound responses in all allowed forms are taken as before.

--- a/toucankv/client.go
+++ b/toucankv/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"toucanhaven/toucanmemory"
+	"toucanhaven/toucanresponse"
 )
 
 const (
@@ -60,7 +61,9 @@
 		baseURL: "http://" + address,
 		timeout: defaultTimeout,
 		httpClient: &http.Client{
-			Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes},
+			Transport: toucanresponse.Checked(&http.Transport{
+				MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes,
+			}),
 			// Do not follow redirects: the result of a redirected write would be unknown.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
