cmd: read responses by toucanresponse

toucanhaven took the result of a change from a broken response of its node: it said done or refused where the result was unknown. toucanstub counted broken answers as answered. Both are behind toucanresponse.Checked now, except the announcement of a server and the load generator, whose measured cost stays comparable.

--- a/cmd/toucanhaven/admin.go
+++ b/cmd/toucanhaven/admin.go
@@ -16,6 +16,7 @@
 
 	"toucanhaven/toucanclass"
 	"toucanhaven/toucanconfig"
+	"toucanhaven/toucanresponse"
 )
 
 const (
@@ -82,7 +83,8 @@
 		}
 		return fail(exitFailure, "%v", err)
 	}
-	client := &http.Client{Timeout: adminTimeout}
+	transport := toucanresponse.Checked(http.DefaultTransport.(*http.Transport).Clone())
+	client := &http.Client{Timeout: adminTimeout, Transport: transport}
 	response, err := client.Do(request)
 	if err != nil {
 		return failNoReply(err)
--- a/cmd/toucanstub/backend.go
+++ b/cmd/toucanstub/backend.go
@@ -21,6 +21,7 @@
 	"github.com/integrii/flaggy"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanresponse"
 )
 
 // fault is one of the ways in which the backend server can misbehave.
@@ -95,7 +96,7 @@
 }
 
 func backendCommand() command {
-	b := &backend{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}}
+	b := &backend{client: &http.Client{Transport: toucanresponse.Checked(&http.Transport{MaxIdleConnsPerHost: 1000})}}
 	service, listen, nodeFile, runsFile, faultName := "", "127.0.0.1:0", "", "", string(faultNone)
 	slots, queue := 30, 1000
 	b.serviceTime, b.faultShare = 10*time.Millisecond, 1
--- a/cmd/toucanstub/caller.go
+++ b/cmd/toucanstub/caller.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanresponse"
 )
 
 // caller sends requests to a node and prints one line with the outcome of each.
@@ -30,7 +31,7 @@
 func callerCommand() command {
 	c := &caller{
 		method: http.MethodGet, path: "/", count: 1, concurrency: 1, timeout: 10 * time.Second,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}, outcomeCounts: map[string]int{},
+		client: &http.Client{Transport: toucanresponse.Checked(&http.Transport{MaxIdleConnsPerHost: 1000})}, outcomeCounts: map[string]int{},
 	}
 	nodeFile, keysFile := "", ""
 	flags := flaggy.NewSubcommand("caller")
--- a/cmd/toucanstub/demo_fleet.go
+++ b/cmd/toucanstub/demo_fleet.go
@@ -21,6 +21,7 @@
 	"toucanhaven/toucankvtest"
 	"toucanhaven/toucanlog"
 	"toucanhaven/toucannode"
+	"toucanhaven/toucanresponse"
 	"toucanhaven/toucansettings"
 )
 
@@ -140,7 +141,7 @@
 func newDemoFleet() (f *demoFleet, err error) {
 	f = &demoFleet{
 		log: newRunLog(), startedRuns: map[runKey]int{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client: &http.Client{Transport: toucanresponse.Checked(&http.Transport{MaxIdleConnsPerHost: 256})},
 	}
 	defer func() {
 		if err != nil {
--- a/cmd/toucanstub/demo_load.go
+++ b/cmd/toucanstub/demo_load.go
@@ -11,6 +11,7 @@
 
 	"toucanhaven/toucancall"
 	"toucanhaven/toucancaller"
+	"toucanhaven/toucanresponse"
 )
 
 // demoClass is the load of one class.
@@ -90,7 +91,7 @@
 	}
 	l := &demoLoad{
 		fleet: f, entries: f.entries(), caller: caller, rand: random, surgeSlots: make(chan struct{}, maxSurgeInFlight),
-		surgeClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxSurgeInFlight}},
+		surgeClient: &http.Client{Transport: toucanresponse.Checked(&http.Transport{MaxIdleConnsPerHost: maxSurgeInFlight})},
 	}
 	for _, c := range demoClasses {
 		l.latencyTargets = append(l.latencyTargets, latencyTarget(c.service, c.name))
