--- a/toucanresponse/read.go
+++ b/toucanresponse/read.go
@@ -28,8 +28,8 @@
 
 var (
 	errStatusLineInHead = errors.New("status line within the head")
-	errEncodingInOld    = errors.New("Transfer-Encoding in HTTP/1.0")
-	errTwoFramings      = errors.New("both Content-Length and Transfer-Encoding")
+	errEncodingInOld    = errors.New("field Transfer-Encoding in HTTP/1.0")
+	errTwoFramings      = errors.New("both fields Content-Length and Transfer-Encoding")
 )
 
 // Read reads the head of the next response to a request with the given method, which may be
@@ -144,7 +144,7 @@
 	case resp.ProtoMinor == 0:
 		return errEncodingInOld
 	case len(values) > 1 || !strings.EqualFold(values[0], "chunked"):
-		return fmt.Errorf("Transfer-Encoding is %.40q, want chunked", values)
+		return fmt.Errorf("field Transfer-Encoding is %.40q, want chunked", values)
 	}
 	delete(resp.Header, "Transfer-Encoding")
 	resp.TransferEncoding = []string{"chunked"}
@@ -160,12 +160,12 @@
 	}
 	for _, v := range values[1:] {
 		if v != values[0] {
-			return 0, fmt.Errorf("Content-Length has the values %.40q", values)
+			return 0, fmt.Errorf("field Content-Length has the values %.40q", values)
 		}
 	}
 	length, err := strconv.ParseUint(values[0], 10, 63)
 	if err != nil {
-		return 0, fmt.Errorf("Content-Length is %.40q, want a number", values[0])
+		return 0, fmt.Errorf("field Content-Length is %.40q, want a number", values[0])
 	}
 	if len(values) > 1 {
 		h["Content-Length"] = values[:1]
@@ -194,7 +194,7 @@
 			}
 			switch key {
 			case "Content-Length", "Trailer", "Transfer-Encoding":
-				return nil, fmt.Errorf("Trailer announces %s", key)
+				return nil, fmt.Errorf("field Trailer announces %s", key)
 			}
 			trailer[key] = nil
 		}
