--- a/toucanresponse/read.go
+++ b/toucanresponse/read.go
@@ -33,8 +33,9 @@
 )
 
 // Read reads the head of the next response to a request with the given method, which may be
-// an interim response with a 1xx status. Like that of http.ReadResponse, its Body returns
-// io.EOF only after a complete body, and sets Trailer then. Connection stays in its Header.
+// an interim response with a 1xx status. The result is that of http.ReadResponse, except that
+// Header keeps Connection and has no field that was not received. Reading Body to io.EOF
+// checks the rest of the response and sets Trailer.
 func Read(r *bufio.Reader, method string) (resp *http.Response, err error) {
 	defer func() {
 		if err != nil {
--- a/toucanresponse/transport.go
+++ b/toucanresponse/transport.go
@@ -110,6 +110,7 @@
 	return nil
 }
 
+// endResponse returns an error if bytes follow the response, which belong to no request.
 func (c *checkedConn) endResponse() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
