--- a/toucanresponse/read_test.go
+++ b/toucanresponse/read_test.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// Sound responses must be read as net/http reads them, but that it changes two header fields,
-// and leave what follows them.
+// Sound responses must be read as net/http reads them, and leave what follows them.
 func TestSound(t *testing.T) {
 	const next = "HTTP/1.1 404 Not Found\r\n"
 	for _, c := range toucanresponsetest.Sound() {
@@ -87,7 +86,7 @@
 	is.Equal(got.ContentLength, want.ContentLength)
 	is.Equal(got.TransferEncoding, want.TransferEncoding)
 	is.Equal(got.Trailer, want.Trailer)
-	if got.Close { // net/http then removes Connection
+	if got.Close { // net/http removes Connection, see TestConnectionIsKept
 		delete(got.Header, "Connection")
 		delete(want.Header, "Connection")
 	}
@@ -95,7 +94,7 @@
 }
 
 // The options of a connection that is closed must stay known, because the fields that they
-// name are not forwarded.
+// name are not forwarded. No field may be added that was not received.
 func TestConnectionIsKept(t *testing.T) {
 	is := is.New(t)
 	_, resp, _, _, err := readAll("HTTP/1.1 200 OK\r\nConnection: close, X-Hop\r\nPragma: no-cache\r\nContent-Length: 0\r\n\r\n", "GET", toucanresponse.Read)
