--- a/toucancaller/broken_test.go
+++ b/toucancaller/broken_test.go
@@ -1,6 +1,10 @@
 package toucancaller
 
 import (
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -49,3 +53,20 @@
 		})
 	}
 }
+
+// No keys must be taken from a response that breaks off behind them.
+func TestKeysOfCutResponse(t *testing.T) {
+	is := is.New(t)
+	body, err := json.Marshal(keysAnswer{Keys: []string{newTestHome().Issue(1)[0].String()}})
+	is.NoErr(err)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for response, want := range map[string]int{whole: 1, strings.TrimSuffix(whole, "0\r\n\r\n"): 0, strings.Replace(whole, "200 OK", "200 OK\r\nX A: v", 1): 0} {
+		server := httptest.NewServer(respondRaw(response))
+		defer server.Close()
+		client, err := New([]string{server.Listener.Addr().String()})
+		is.NoErr(err)
+		keys, err := client.fetchKeys(t.Context(), server.Listener.Addr().String(), "ordini")
+		is.Equal(len(keys), want)
+		is.Equal(err == nil, want > 0)
+	}
+}
