toucannode, toucanmesh: tests of lost slots and of broken refusals

The slots that status 000 took from toucanhaven node had no test that ends when it is red, and broken refusals were not sent through toucanhaven mesh. Names and comments that stopped a newcomer are plainer; the code is the same.

--- a/cmd/toucanhaven/admin_test.go
+++ b/cmd/toucanhaven/admin_test.go
@@ -36,13 +36,17 @@
 			}
 		}
 	}
+}
+
+// A sound response must be taken, in whichever of the allowed forms it comes.
+func TestSoundAdminResponse(t *testing.T) {
 	for _, c := range toucanresponsetest.Sound() {
 		if c.OwnStatus() {
 			continue
 		}
 		for status, want := range map[string]int{"200 OK": exitOK, "400 Bad Request": exitFailure} {
 			if got := callRespondingNode(t, c.Response(status, "", "{}")); got != want {
-				t.Errorf("sound %s/%s: exit status %d, want %d", c.Name, status, got, want)
+				t.Errorf("%s/%s: exit status %d, want %d", c.Name, status, got, want)
 			}
 		}
 	}
--- a/toucanmesh/broken_test.go
+++ b/toucanmesh/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,29 +12,32 @@
 )
 
 // A broken response of a backend server must end in status 502 at the caller, with none of its
-// fields and none of its body, whether its node is the caller's own or another one.
+// fields and none of its body, whether its node is the caller's own or another one. The request
+// must not run again on the word of a broken refusal.
 func TestBrokenResponse(t *testing.T) {
-	s := newDeployment(t, unsafeRoute(), safeRoute())
+	s := newDeployment(t, unsafeRoute())
 	home := s.startNode("a", "orders")
 	entry := s.startNode("b", "stock")
 	home.awaitServed("/order/")
 	entry.awaitServed("/order/")
 	for _, node := range []*testNode{home, entry} {
-		t.Run("at_"+node.settings.Node, func(t *testing.T) {
+		for _, tt := range []struct{ status, field string }{{"200 OK", ""}, {"503 Busy", "X-Not-Executed: 1\r\n"}} {
 			for _, c := range toucanresponsetest.Broken() {
-				t.Run(c.Name, func(t *testing.T) {
+				id := strings.Join([]string{c.Name, tt.status[:3], node.settings.Node}, "/")
+				t.Run(id, func(t *testing.T) {
 					is := is.New(t)
 					home.backend.SetAnswer(func(w io.Writer, r *http.Request) {
-						io.WriteString(w, c.Response("200 OK", responseFields(r)+"Connection: close\r\n", "ok"))
+						io.WriteString(w, c.Response(tt.status, responseFields(r)+tt.field+"Connection: close\r\n", "ok"))
 					})
-					got := node.send("POST", "/order/1", c.Name+node.settings.Node)
+					got := node.send("POST", "/order/1", id)
 					is.NoErr(got.err)
 					is.Equal(got.status, 502)
 					is.Equal(got.body, "")
 					is.Equal(got.header.Get("X-Response-Signature"), "")
+					is.Equal(home.backend.Runs(id), 1)
 				})
 			}
-		})
+		}
 	}
 }
 
--- a/toucannode/broken_test.go
+++ b/toucannode/broken_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// brokenAnswerPaths are the ways that an answer takes to a caller.
-var brokenAnswerPaths = []struct {
+// answerPaths are the ways that an answer takes to a caller.
+var answerPaths = []struct {
 	name             string
 	success, refusal string // fields of a success and of a refusal
 	hops             int    // nodes between caller and server; 0 if the server stands in for a node
@@ -51,7 +51,7 @@
 // TestBrokenAnswerIsNotWhole guards against an answer that is not HTTP and reaches the caller
 // framed as whole, or as the promise that its request did not run.
 func TestBrokenAnswerIsNotWhole(t *testing.T) {
-	for _, path := range brokenAnswerPaths {
+	for _, path := range answerPaths {
 		t.Run(path.name, func(t *testing.T) {
 			t.Parallel()
 			s := &respondingServer{}
@@ -77,9 +77,30 @@
 	}
 }
 
+// TestInvalidStatusKeepsSlots guards against a status below 100 that is passed on as that of an
+// interim answer, which makes http.Server panic: the caller gets no outcome, and the slot of the
+// call is lost.
+func TestInvalidStatusKeepsSlots(t *testing.T) {
+	const slots = 20 // the concurrency limit at the start
+	s := &respondingServer{}
+	node := startResponding(t, s, 1)
+	for i := range slots + 1 {
+		answer := "HTTP/1.1 000 Zero\r\n\r\n"
+		s.answer.Store(&answer)
+		if got := rawExchange(t, node, "POST", "1.1"); got.outcome != "unknown connection_lost" {
+			t.Fatalf("call %d: the caller got %+v", i, got)
+		}
+	}
+	answer := wholeAnswer
+	s.answer.Store(&answer)
+	if got := rawExchange(t, node, "POST", "1.1"); got.outcome != "answered" {
+		t.Errorf("after invalid statuses the caller got %+v", got)
+	}
+}
+
 // TestSoundAnswerIsWhole guards against a check that refuses an allowed form of an answer.
 func TestSoundAnswerIsWhole(t *testing.T) {
-	for _, path := range brokenAnswerPaths {
+	for _, path := range answerPaths {
 		t.Run(path.name, func(t *testing.T) {
 			t.Parallel()
 			s := &respondingServer{kept: true}
--- a/toucanresponse/body.go
+++ b/toucanresponse/body.go
@@ -19,7 +19,7 @@
 	// it is read without an allocation.
 	maxTrailerBytes      = 4 << 10
 	expectedTrailerBytes = 256
-	// chunkEnd follows the data of a chunk and its line.
+	// chunkEnd ends the line of a chunk and its data.
 	chunkEnd = "\r\n"
 	// maxChunkDigits limits the digits of a chunk size.
 	maxChunkDigits = 16
--- a/toucanresponse/fields.go
+++ b/toucanresponse/fields.go
@@ -24,7 +24,8 @@
 )
 
 // readSection reads lines up to the first empty one, which it drops, appends them to buf and
-// returns the text. The head may have lines that end with LF alone (RFC 9112 section 2.2).
+// returns the text, of at most limit bytes. Each line must end with lineEnd: "\n" in a head,
+// where CR may be missing (RFC 9112 section 2.2), and "\r\n" in a trailer section.
 func readSection(r *bufio.Reader, buf []byte, limit int, lineEnd string) (string, error) {
 	for {
 		start := len(buf)
--- a/toucanresponse/read.go
+++ b/toucanresponse/read.go
@@ -28,7 +28,7 @@
 
 var (
 	errStatusLineInHead = errors.New("status line within the head")
-	errEncodingInOld    = errors.New("field Transfer-Encoding in HTTP/1.0")
+	errEncodingInHTTP10 = errors.New("field Transfer-Encoding in HTTP/1.0")
 	errTwoFramings      = errors.New("both fields Content-Length and Transfer-Encoding")
 )
 
@@ -143,7 +143,7 @@
 	case !present:
 		return nil
 	case resp.ProtoMinor == 0:
-		return errEncodingInOld
+		return errEncodingInHTTP10
 	case len(values) > 1 || !strings.EqualFold(values[0], "chunked"):
 		return fmt.Errorf("field Transfer-Encoding is %.40q, want chunked", values)
 	}
--- a/toucanresponse/toucanresponsetest/cases.go
+++ b/toucanresponse/toucanresponsetest/cases.go
@@ -46,8 +46,9 @@
 	return cases
 }
 
-// Response returns the response with a status code and reason, unless the case is about
-// these, header fields with their line ends, and a body of at most 9 bytes.
+// Response returns the response with a status code and reason, unless OwnStatus, with header
+// fields that include their line ends, and a body. The body has at most 9 bytes, because its
+// length is also written as a chunk size, which is hexadecimal.
 func (c Case) Response(status, fields, body string) string {
 	return strings.NewReplacer("{status}", status, "{fields}", fields, "{length}", strconv.Itoa(len(body)), "{body}", body).Replace(c.template)
 }
@@ -56,5 +57,6 @@
 // a part of the response.
 func (c Case) InBody() bool { return strings.HasPrefix(c.Name, "body_") }
 
-// OwnStatus reports whether the case is about the status, which Response then does not set.
+// OwnStatus reports whether the case is about the status line, whose status Response then does
+// not set. A reader that expects a status of its own leaves such sound cases out.
 func (c Case) OwnStatus() bool { return !strings.Contains(c.template, "{status}") }
