toucanresponse: the stand-in of TestCheckedLargeBody announces its close

Its server closed the connection after each response without "Connection: close", so the client could send the next POST on a connection that was being closed, and a POST isn't repeated. What is checked stays: bodies arrive whole in all three framings.

--- a/toucanresponse/transport_test.go
+++ b/toucanresponse/transport_test.go
@@ -115,13 +115,15 @@
 	is.New(t).Equal(s.conns.Load(), int64(1+closing))
 }
 
-// A large body must arrive as it was sent, and its end by the end of the connection.
+// A large body must arrive as it was sent, and its end by the end of the connection. The server
+// announces that it closes the connection, because a client may send its next request on one that
+// is closed without notice.
 func TestCheckedLargeBody(t *testing.T) {
 	s, client := startServer(t, false), newClient(t)
 	large := strings.Repeat("0123456789abcdef", 10_000)
 	for _, framing := range []string{"Content-Length: 160000\r\n\r\n" + large, "Transfer-Encoding: chunked\r\n\r\n27100\r\n" + large + "\r\n0\r\n\r\n", "\r\n" + large} {
 		is := is.New(t)
-		_, body, err := s.exchange(client, "POST", "HTTP/1.1 200 OK\r\n"+framing)
+		_, body, err := s.exchange(client, "POST", "HTTP/1.1 200 OK\r\nConnection: close\r\n"+framing)
 		is.NoErr(err)
 		is.True(body == large)
 	}
