toucanledger, toucanserve: bound what answers that nobody reads hold

Cause: an answer was counted after its run, with a method that took memory past every bound; up to 32 requests of a connection ran behind an unread answer; the home released the bytes of an answer before the entry counted them; nothing bounded the kernel buffers. A slow reader in calm was cut after 10 s whatever progress it made.

Fix: toucanledger knows what each connection holds, from the first byte of a request to the last one of its answer, each byte once. Memory for an answer is taken before the run, by what its route has answered lately; without it the caller gets a true 503. Bytes that several hold are one Holding. When memory or kernel buffers run short, the connection that has held most for longest without progress is closed; a sixteenth is kept for small calls.

The server of toucanserve's tests has a larger budget and a ledger; what they check stays.

--- a/cmd/toucanhaven/node_memory_test.go
+++ b/cmd/toucanhaven/node_memory_test.go
@@ -131,23 +131,37 @@
 	return n
 }
 
+// longPath begins the paths of requests that are answered with longStream, which no kernel buffer
+// holds.
+const longPath = "/orders/long"
+
+var longStream = make([]byte, 16<<20)
+
 // serveBackend starts a backend server and returns its address.
 func (n *nodeProcess) serveBackend(server func(c net.Conn)) string {
 	return serveConns(n.t, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		for {
-			if _, err := http.ReadRequest(in); err != nil {
+			req, err := http.ReadRequest(in)
+			if err != nil {
 				return
 			}
-			if n.faulty.Load() {
+			switch {
+			case n.faulty.Load():
 				server(c)
-			} else {
+			case strings.HasPrefix(req.URL.Path, longPath):
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(longStream))
+				c.Write(longStream)
+			default:
 				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
 			}
 		}
 	})
 }
 
+// ordinaryClient opens a connection for each request.
+var ordinaryClient = http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
 // awaitAnswer waits for a whole answer of the backend server, which is no longer faulty.
 func (n *nodeProcess) awaitAnswer() {
 	n.t.Helper()
@@ -158,7 +172,7 @@
 			n.t.Fatal(err)
 		}
 		request.Header.Set("Toucan-Service", "ordini")
-		resp, err := http.DefaultClient.Do(request)
+		resp, err := ordinaryClient.Do(request)
 		if err != nil {
 			return false
 		}
--- a/cmd/toucanhaven/soak_test.go
+++ b/cmd/toucanhaven/soak_test.go
@@ -100,6 +100,7 @@
 	name, service, dir    string
 	program               string
 	caller, control, peer string
+	ready, metrics        string
 	backend               *platformtest.Backend
 	peerProxy             *platformtest.Proxy // between the other nodes and this one
 	storeProxy            *platformtest.Proxy
@@ -146,12 +147,12 @@
 	n := &testNode{name: name, service: service, program: s.program, dir: filepath.Join(s.t.ArtifactDir(), name), caller: platformtest.FreeAddress(s.t), control: platformtest.FreeAddress(s.t)}
 	n.backend = platformtest.NewBackend(s.t, service, "i-"+name, "")
 	n.backend.SetAnswer(platformtest.RespondAfter(time.Duration(5+s.rng.IntN(60)) * time.Millisecond))
-	n.peer = platformtest.FreeAddress(s.t)
+	n.peer, n.ready, n.metrics = platformtest.FreeAddress(s.t), platformtest.FreeAddress(s.t), platformtest.FreeAddress(s.t)
 	n.peerProxy, n.storeProxy = platformtest.NewProxy(s.t, n.peer), platformtest.NewProxy(s.t, s.store.Address)
 	settings := fmt.Sprintf("node = %q\nservice = %q\ndata_centre = \"dc\"\ncaller_address = %q\nready_address = %q\ncontrol_address = %q\n"+
-		"peer_address = %q\npeer_advertised = %q\nbackend_address = %q\nstore_address = %q\nmemory_mb = %d\nheartbeat = \"500ms\"\ngrace = \"4s\"\n"+
+		"peer_address = %q\npeer_advertised = %q\nmetrics_address = %q\nbackend_address = %q\nstore_address = %q\nmemory_mb = %d\nheartbeat = \"500ms\"\ngrace = \"4s\"\n"+
 		"retry_ratio = %.1f\nretry_slack = 20\nretry_window = \"10s\"\n",
-		name, service, n.caller, platformtest.FreeAddress(s.t), n.control, n.peer, n.peerProxy.Address, n.backend.Address, n.storeProxy.Address, s.memoryMB, s.retryRatio)
+		name, service, n.caller, n.ready, n.control, n.peer, n.peerProxy.Address, n.metrics, n.backend.Address, n.storeProxy.Address, s.memoryMB, s.retryRatio)
 	if err := os.Mkdir(n.dir, 0o700); err != nil {
 		s.t.Fatal(err)
 	}
--- a/toucanbackend/exchange.go
+++ b/toucanbackend/exchange.go
@@ -50,6 +50,8 @@
 type exchangeTrace struct {
 	reused  bool // the connection had been used before
 	skipped int  // responses to other requests that came first
+
+	room *toucanmemory.Reservation // for the body of the response
 }
 
 // exchangeError is the error of a failed exchange.
@@ -166,7 +168,7 @@
 // reusable reports whether the connection can be used again.
 func (r *Runner) readResponse(conn *toucanconn.Conn, c *toucanpeer.Call, tr *exchangeTrace) (resp *response, reusable bool, err error) {
 	for range maxSkippedResponses {
-		hr, resp, err := r.readOneResponse(conn, c.Method)
+		hr, resp, err := r.readOneResponse(conn, c.Method, tr.room.Grow)
 		if err != nil {
 			return nil, false, err
 		}
@@ -194,8 +196,9 @@
 	return nil, false, errTooManySkipped
 }
 
-// readOneResponse reads one response with its body. resp is nil for an informational one.
-func (r *Runner) readOneResponse(conn *toucanconn.Conn, method string) (hr *http.Response, resp *response, err error) {
+// readOneResponse reads one response with its body, for which grow takes memory. resp is nil for
+// an informational one.
+func (r *Runner) readOneResponse(conn *toucanconn.Conn, method string, grow func(held, n int64) (ok bool)) (hr *http.Response, resp *response, err error) {
 	if err := conn.LimitHeader(); err != nil {
 		return nil, nil, err
 	}
@@ -214,7 +217,7 @@
 	case hr.StatusCode < 200:
 		return hr, nil, nil
 	}
-	body, bodyHeld, err := r.readBody(hr)
+	body, bodyHeld, err := r.readBody(hr, grow)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read the response body: %w", err)
 	}
@@ -223,17 +226,22 @@
 
 // readBody reads a response body and returns the bytes of the memory for bodies that it
 // holds.
-func (r *Runner) readBody(hr *http.Response) (body []byte, held int64, err error) {
+func (r *Runner) readBody(hr *http.Response, grow func(held, n int64) (ok bool)) (body []byte, held int64, err error) {
 	if hr.Body == http.NoBody { // also after HEAD, whatever its Content-Length
 		return nil, 0, nil
 	}
+	return toucanmemory.Reader{
+		Budget: r.bodies, Limit: r.maxResponse(), Free: freeResponseBytes, Grow: grow,
+	}.ReadAll(hr.Body, hr.ContentLength)
+}
+
+// maxResponse returns the size of the largest response body.
+func (r *Runner) maxResponse() int64 {
 	limit := int64(maxResponseBytes)
 	if total := r.bodies.Limit(); total > 0 {
 		limit = min(limit, int64(maxResponseShare*float64(total)))
 	}
-	return toucanmemory.Reader{
-		Budget: r.bodies, Limit: limit, Free: freeResponseBytes, Reserve: r.reserveBody,
-	}.ReadAll(hr.Body, hr.ContentLength)
+	return limit
 }
 
 // checkResponse returns an error for a response that is not the complete response
--- a/toucanbackend/health.go
+++ b/toucanbackend/health.go
@@ -65,7 +65,7 @@
 // readFinalResponse reads the response to a health check. It skips informational responses.
 func (r *Runner) readFinalResponse(conn *toucanconn.Conn) (*response, error) {
 	for range maxSkippedResponses {
-		if _, resp, err := r.readOneResponse(conn, http.MethodGet); resp != nil || err != nil {
+		if _, resp, err := r.readOneResponse(conn, http.MethodGet, r.Grow); resp != nil || err != nil {
 			return resp, err
 		}
 	}
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -49,6 +49,7 @@
 	pool    *toucanconn.Pool
 	limiter limiter
 	bodies  *toucanmemory.Budget
+	sizes   toucanmemory.Sizes // of response bodies
 
 	retryBudget  *toucanretry.Budget
 	countServing func(service string) int
@@ -70,7 +71,6 @@
 	cancel        context.CancelFunc
 	done          chan struct{}
 	result        toucanpeer.Result // set before done is closed; may be replaced by expiredResult
-	held          int64             // bytes of the memory for bodies that the result holds
 	answeredCalls int               // calls that the backend server made for this run and that were answered
 }
 
@@ -104,7 +104,7 @@
 	if r.heartbeatInterval == nil {
 		r.heartbeatInterval = func() time.Duration { return 0 }
 	}
-	r.pool = toucanconn.NewPool(connIdleTimeout, o.Clock.Now, toucanconn.Memory{Budget: o.Bodies, Reserve: r.reserveBody})
+	r.pool = toucanconn.NewPool(connIdleTimeout, o.Clock.Now, toucanconn.Memory{Budget: o.Bodies, Grow: r.Grow})
 	return r
 }
 
@@ -226,10 +226,10 @@
 	r.mu.Unlock()
 	res, held := r.runCall(ctx, c)
 	res.Child = child
-	retained, held := r.retain(res, held)
+	res, kept := r.retain(res, held)
 	r.mu.Lock()
-	u.result, u.held = retained, held
-	if held > 0 {
+	u.result = kept
+	if kept.Holding() != nil {
 		r.retained = append(r.retained, u)
 	}
 	r.mu.Unlock()
@@ -238,44 +238,44 @@
 	return r.withReport(res)
 }
 
-// retain returns the result to keep for a sender whose connection broke, and the bytes of
-// the memory that it holds, given those that its response holds. Small results do not
+// retain returns the result with the memory that it holds, given that of its response, and the
+// result to keep for a sender whose connection broke. Both share the memory. Small results do not
 // count. A result that the memory has no room for is not kept.
-func (r *Runner) retain(res toucanpeer.Result, held int64) (toucanpeer.Result, int64) {
+func (r *Runner) retain(res toucanpeer.Result, held int64) (result, kept toucanpeer.Result) {
 	need := max(0, int64(len(res.Body))-freeRetainedBytes) + toucanpeer.HeaderMemory(res.Header) - held
 	switch {
 	case need <= 0:
-		return res, held
-	case r.reserveBody(need):
-		return res, held + need
+	case r.Grow(held, need):
+		held += need
+	default:
+		return res.WithHolding(toucanmemory.NewHolding(r.bodies, held)), expiredResult
 	}
-	r.bodies.Release(held)
-	return expiredResult, 0
+	holding := toucanmemory.NewHolding(r.bodies, held)
+	return res.WithHolding(holding), res.WithHolding(holding.Share())
 }
 
-// reserveBody reserves memory for a header or a body. If there is too little, it gives up the oldest
-// results that are kept for senders whose connection broke.
-func (r *Runner) reserveBody(n int64) bool {
-	for !r.bodies.Reserve(n) {
+// Grow takes memory for a header or a body that holds some already. If there is too little, it
+// gives up the oldest results that are kept for senders whose connection broke.
+func (r *Runner) Grow(held, n int64) (ok bool) {
+	for !r.bodies.Grow(held, n) {
 		r.mu.Lock()
 		if len(r.retained) == 0 {
 			r.mu.Unlock()
 			return false
 		}
-		r.retained[0].result = expiredResult
 		r.releaseResult(r.retained[0])
 		r.mu.Unlock()
 	}
 	return true
 }
 
-// releaseResult returns the memory of the result of a run. r.mu must be held.
+// releaseResult gives up the result of a run that holds memory. r.mu must be held.
 func (r *Runner) releaseResult(u *run) {
-	if u.held == 0 {
+	if u.result.Holding() == nil {
 		return
 	}
-	r.bodies.Release(u.held)
-	u.held = 0
+	u.result.Release()
+	u.result = expiredResult
 	if i := slices.Index(r.retained, u); i >= 0 {
 		r.retained = slices.Delete(r.retained, i, i+1)
 	}
@@ -306,7 +306,7 @@
 	select {
 	case <-u.done:
 		r.mu.Lock()
-		res := u.result
+		res := u.result.Share()
 		r.mu.Unlock()
 		return r.withReport(res)
 	case <-ctx.Done():
@@ -362,6 +362,11 @@
 	if !started.Before(deadline) { // for example, the process was paused
 		reason = toucancall.ReasonDeadline
 	}
+	room, ok := toucanmemory.NewReservation(r.bodies, r.Grow, r.expectedMemory(c.Route))
+	defer room.Release()
+	if reason == "" && !ok {
+		reason = toucancall.ReasonOverload
+	}
 	if reason != "" {
 		r.limiter.release(0, false)
 		return r.refuseCall(c, reason), 0
@@ -372,12 +377,13 @@
 	if !c.Repeat {
 		r.retryBudget.CountRequest(c.Service, c.Priority == 0)
 	}
-	var tr exchangeTrace
+	tr := exchangeTrace{room: room}
 	resp, err := r.exchange(ctx, s, c, deadline, &tr)
 	took := r.clock.Now().Sub(started)
 	r.limiter.release(took, err == nil && !r.notRun(resp))
 	if resp != nil {
 		held = resp.held
+		r.sizes.Record(c.Route, int64(len(resp.body)))
 		if resp.status == http.StatusMisdirectedRequest {
 			r.clearServer(s)
 		}
@@ -401,6 +407,11 @@
 	return res, held
 }
 
+// expectedMemory returns the memory that a response of a route is expected to take.
+func (r *Runner) expectedMemory(route string) int64 {
+	return max(0, min(r.sizes.Expected(route), r.maxResponse())-freeResponseBytes)
+}
+
 // mayNeedRetry reports whether the sender needs a retry from the budget to send the call
 // again. A call that reached no backend server needs none.
 func mayNeedRetry(c *toucanpeer.Call, res toucanpeer.Result) bool {
--- a/toucanconn/pool.go
+++ b/toucanconn/pool.go
@@ -48,8 +48,8 @@
 
 // Memory is where the headers that arrive on connections are counted.
 type Memory struct {
-	Budget  *toucanmemory.Budget
-	Reserve func(n int64) bool // replaces the Reserve method of Budget if it is not nil
+	Budget *toucanmemory.Budget
+	Grow   func(held, n int64) (ok bool) // replaces the Grow method of Budget if it is not nil
 }
 
 // LimitHeader allows MaxHeaderBytes to be read, and counts their memory, until
@@ -57,7 +57,7 @@
 // toucanmemory.ErrExhausted.
 func (c *Conn) LimitHeader() error {
 	c.readLimit = MaxHeaderBytes
-	c.header.Start(c.memory.Budget, c.memory.Reserve)
+	c.header.Start(c.memory.Budget, c.memory.Grow)
 	buffered, _ := c.R.Peek(c.R.Buffered())
 	return c.header.Count(buffered)
 }
--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -15,6 +15,7 @@
 	"toucanhaven/toucancall"
 	"toucanhaven/toucanclock"
 	"toucanhaven/toucanfleet"
+	"toucanhaven/toucanmemory"
 	"toucanhaven/toucanpeer"
 	"toucanhaven/toucanretry"
 	"toucanhaven/toucanroute"
@@ -46,6 +47,13 @@
 // by the services below its own.
 const reasonThrottled toucancall.Reason = "throttled"
 
+// reasonMemory means that there is no memory for the response.
+const reasonMemory toucancall.Reason = "memory"
+
+// memoryRetryAfter is the Retry-After value of a request for whose response there is no
+// memory. Connections that hold some without progress are closed meanwhile.
+const memoryRetryAfter = time.Second
+
 // reasonNoConfiguration means that no configuration is known yet.
 const reasonNoConfiguration toucancall.Reason = "no_configuration"
 
@@ -63,6 +71,7 @@
 	Table       atomic.Pointer[toucanroute.Table]
 	Metrics     Metrics
 
+	sizes    toucanmemory.Sizes // of the responses of each route
 	shutdown atomic.Pointer[shutdown]
 	throttle throttle
 }
@@ -186,6 +195,10 @@
 	q.header = e.endToEndFields(q.Header)
 	q.step = e.Runner.CallStep(q.id)
 	e.RetryBudget.CountRequest(q.service, q.route.Priority == 0)
+	if !q.ReserveAnswer(e.sizes.Expected(q.route.Name)) {
+		q.reason = reasonMemory
+		return e.refuse(q, memoryRetryAfter)
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(outcomeGrace))
 	defer cancel()
 	return e.sendUntilAnswered(ctx, q)
@@ -215,8 +228,9 @@
 			if q.step > 0 && r.Status < http.StatusInternalServerError {
 				e.Runner.CallAnswered(q.id)
 			}
-			return response(r)
+			return e.takeResponse(q, r)
 		}
+		r.Release()
 		if q.attempts.Count() >= maxAttempts || !e.mayRetry(q, r) {
 			return e.respondUnanswered(q)
 		}
@@ -224,6 +238,19 @@
 	}
 }
 
+// takeResponse returns the response of a backend server, or one that promises nothing if there is
+// no memory for it.
+func (e *Entry) takeResponse(q *request, r toucanpeer.Result) *toucanserve.Response {
+	resp := response(r)
+	e.sizes.Record(q.route.Name, resp.Memory())
+	if !q.TakeAnswer(resp) {
+		r.Release()
+		q.reason = reasonMemory
+		return emptyResponse(http.StatusBadGateway)
+	}
+	return resp
+}
+
 // mayRetry reports whether a request without a response may be sent again. A node
 // that refused the request itself has not forwarded it, so sending it to another
 // node is no retry at a backend server. All other cases are retries: the node
@@ -258,6 +285,7 @@
 	q.attempts = q.attempts.WithAttempt(target.Node)
 	var r toucanpeer.Result
 	if target.Link == nil {
+		q.ReleaseAnswer() // the runner takes it
 		r = e.Runner.Run(ctx, c)
 		r.Report.Pressure = e.Pressure()
 	} else {
@@ -310,7 +338,7 @@
 	for i := 0; i+1 < len(r.Header); i += 2 {
 		header[r.Header[i]] = append(header[r.Header[i]], r.Header[i+1])
 	}
-	return toucanserve.NewResponse(r.Status, header, r.Body)
+	return toucanserve.NewResponse(r.Status, header, r.Body).WithHolding(r.Holding())
 }
 
 // endToEndFields returns the header fields to forward to the backend server, as
--- a/toucanmemory/budget.go
+++ b/toucanmemory/budget.go
@@ -18,16 +18,31 @@
 	ErrTooLarge = errors.New("body is too large")
 )
 
+const (
+	// smallBytes is the size up to which a body or a header is small. Large ones leave
+	// smallShare of the budget to small ones, so that ordinary calls find room beside them.
+	smallBytes = 16 << 10
+	smallShare = 1.0 / 16
+)
+
 // Budget is the number of bytes that the bodies of a process may take together. The zero
 // value has no limit. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	limit  int64
+	used   atomic.Int64
+	parent *Budget                       // nil for the budget of a process
+	grow   func(held, n int64) (ok bool) // takes bytes of the parent
 }
 
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// NewPart returns a budget that takes its bytes of parent, by calling grow, and counts what
+// one user holds of them. grow does what the Grow method of parent does.
+func NewPart(parent *Budget, grow func(held, n int64) (ok bool)) *Budget {
+	return &Budget{parent: parent, grow: grow}
+}
+
 // Limit returns the number of bytes of the budget, or 0 if there is no limit.
 func (b *Budget) Limit() int64 { return b.limit }
 
@@ -35,28 +50,44 @@
 func (b *Budget) Used() int64 { return b.used.Load() }
 
 // Reserve takes n bytes of the budget. It takes none and returns false if fewer are left.
-func (b *Budget) Reserve(n int64) bool {
-	if used := b.used.Add(n); b.limit > 0 && used > b.limit && n > 0 {
+func (b *Budget) Reserve(n int64) (ok bool) { return b.Grow(0, n) }
+
+// Grow takes n bytes for something that holds some already. It takes none and returns false
+// if fewer are left, or if only those are left that are kept for small bodies and headers.
+func (b *Budget) Grow(held, n int64) (ok bool) {
+	if b.grow != nil {
+		if !b.grow(held, n) {
+			return false
+		}
+		b.used.Add(n)
+		return true
+	}
+	limit := b.limit
+	if held+n > smallBytes {
+		limit -= int64(smallShare * float64(b.limit))
+	}
+	if used := b.used.Add(n); b.limit > 0 && used > limit && n > 0 {
 		b.used.Add(-n)
 		return false
 	}
 	return true
 }
 
-// Take takes n bytes of the budget even if fewer are left, for a body that is in memory
-// already and must be passed on.
-func (b *Budget) Take(n int64) { b.used.Add(n) }
-
 // Release returns n bytes to the budget.
-func (b *Budget) Release(n int64) { b.used.Add(-n) }
+func (b *Budget) Release(n int64) {
+	b.used.Add(-n)
+	if b.parent != nil {
+		b.parent.Release(n)
+	}
+}
 
 // Reader reads a body into memory.
 type Reader struct {
 	Budget *Budget
 	Limit  int64 // largest body
 	Free   int64 // leading bytes of the body that do not count in the budget
-	// Reserve replaces the Reserve method of Budget if it is not nil.
-	Reserve func(n int64) bool
+	// Grow replaces the Grow method of Budget if it is not nil.
+	Grow func(held, n int64) (ok bool)
 }
 
 // ReadAll reads a body to its end. size is the announced length, or -1 if it is unknown.
@@ -68,9 +99,9 @@
 	if size > x.Limit {
 		return nil, 0, ErrTooLarge
 	}
-	reserve := x.Reserve
-	if reserve == nil {
-		reserve = x.Budget.Reserve
+	grow := x.Grow
+	if grow == nil {
+		grow = x.Budget.Grow
 	}
 	defer func() {
 		if err != nil {
@@ -92,7 +123,7 @@
 		if len(body) == cap(body) {
 			grown := min(max(firstRead, 2*int64(cap(body))), most)
 			need := max(0, grown-x.Free) - held
-			if need > 0 && !reserve(need) {
+			if need > 0 && !grow(held, need) {
 				return body, held, ErrExhausted
 			}
 			held += max(0, need)
--- a/toucanmemory/header.go
+++ b/toucanmemory/header.go
@@ -19,23 +19,23 @@
 type Header struct {
 	mu       sync.Mutex
 	budget   *Budget
-	reserve  func(n int64) bool
+	grow     func(held, n int64) (ok bool)
 	cost     int64
 	held     int64
 	counting bool
 	lineUsed bool // the current line has a byte other than its end
 }
 
-// Start begins a header, and releases what the one before holds. reserve replaces the
-// Reserve method of b if it is not nil.
-func (h *Header) Start(b *Budget, reserve func(n int64) bool) {
+// Start begins a header, and releases what the one before holds. grow replaces the Grow
+// method of b if it is not nil.
+func (h *Header) Start(b *Budget, grow func(held, n int64) (ok bool)) {
 	h.Release()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if reserve == nil {
-		reserve = b.Reserve
+	if grow == nil {
+		grow = b.Grow
 	}
-	h.budget, h.reserve, h.cost, h.counting, h.lineUsed = b, reserve, 0, true, true
+	h.budget, h.grow, h.cost, h.counting, h.lineUsed = b, grow, 0, true, true
 }
 
 // Count counts bytes that have been read. Those behind the end of the header do not count.
@@ -63,7 +63,7 @@
 		return nil
 	}
 	need = (need + headerStep - 1) / headerStep * headerStep
-	if !h.reserve(need) {
+	if !h.grow(h.held, need) {
 		return ErrExhausted
 	}
 	h.held += need
--- a/toucanmesh/host.go
+++ b/toucanmesh/host.go
@@ -16,7 +16,7 @@
 		return h.completeReport(toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonLeaving, Report: h.runner.Report()})
 	}
 	size := int64(len(c.Body)) + toucanpeer.HeaderMemory(c.Header)
-	if !h.bodies.Reserve(size) {
+	if !h.runner.Grow(0, size) {
 		h.log.Warn("refused", "request", c.ID, "route", c.Route, "reason", string(toucancall.ReasonOverload), "body", size, "bodies", h.bodies.Used())
 		return h.completeReport(toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonOverload, Report: h.runner.Report()})
 	}
--- a/toucanmesh/listen.go
+++ b/toucanmesh/listen.go
@@ -2,38 +2,37 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"toucanhaven/toucanledger"
 )
 
 const (
-	// maxControlConns bounds the connections to each of the listeners for heartbeats,
-	// readiness checks and metrics, which few others use. Further ones wait.
-	maxControlConns = 64
-	// controlTimeout limits a request on these listeners, controlIdleTimeout an idle
-	// connection, and maxControlHeader the header of a request in bytes.
+	// controlTimeout limits a request on the listeners for heartbeats, readiness checks and
+	// metrics, controlIdleTimeout an idle connection, and maxControlHeader the header of a
+	// request in bytes.
 	controlTimeout     = 3 * time.Second
 	controlIdleTimeout = 10 * time.Second
 	maxControlHeader   = 8 << 10
-	// peerConnMemory is the memory of a connection of another node, of which all may take
-	// peerConnsMemoryShare of the memory limit.
-	peerConnMemory       = 128 << 10
-	peerConnsMemoryShare = 0.25
+	// peerBufferBytes is the size of each kernel buffer of a connection of another node.
+	peerBufferBytes = 256 << 10
 )
 
-// serveHTTP serves an address with a handler in the background. What callers can make it hold
-// in memory is bounded.
+// serveHTTP serves an address with a handler in the background. What clients can make it hold is
+// bounded.
 func (n *Node) serveHTTP(address string, h http.Handler) error {
-	l, err := n.listen(address)
+	l, err := n.listen(address, toucanledger.ControlBufferBytes)
 	if err != nil {
 		return err
 	}
 	srv := &http.Server{Handler: h, ReadTimeout: controlTimeout, IdleTimeout: controlIdleTimeout, MaxHeaderBytes: maxControlHeader}
 	n.servers = append(n.servers, srv)
 	go func() {
-		err := srv.Serve(newLimitedListener(l, maxControlConns))
+		err := srv.Serve(newLimitedListener(l, n.limits.ControlConns))
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.logListenerError(err)
 		}
@@ -41,6 +40,15 @@
 	return nil
 }
 
+// newCallerLedger returns the ledger of the connections of callers.
+func (n *Node) newCallerLedger() *toucanledger.Ledger {
+	return toucanledger.New(toucanledger.Options{
+		Name: "callers", Memory: n.bodies, Grow: n.runner.Grow, Conns: math.MaxInt,
+		KernelBytes: n.limits.KernelBytes, BufferBytes: n.limits.BufferBytes,
+		Clock: n.clock, Log: n.log, OnClose: n.metrics.closedConn("callers"),
+	})
+}
+
 // limitedListener accepts at most cap(free) connections at a time.
 type limitedListener struct {
 	net.Listener
@@ -81,9 +89,3 @@
 	defer c.release()
 	return c.Conn.Close()
 }
-
-// maxPeerConns returns the largest number of connections of other nodes, given the memory
-// limit in MB.
-func maxPeerConns(memoryMB int) int {
-	return int(peerConnsMemoryShare * float64(memoryMB<<20) / peerConnMemory)
-}
--- a/toucanmesh/metrics.go
+++ b/toucanmesh/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanledger"
 )
 
 // meter counts requests and serves all metrics in the Prometheus text format.
@@ -32,6 +33,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`toucan_attempts_total{outcome=%q,reason=%q}`, outcome, reason)).Inc()
 }
 
+// closedConn returns a function that counts connections of a listener that were closed because the
+// process ran short of something.
+func (m *meter) closedConn(listener string) func(toucanledger.Shortage) {
+	return func(s toucanledger.Shortage) {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`toucan_connections_closed_total{listener=%q,shortage=%q}`, listener, s)).Inc()
+	}
+}
+
 // addGauges registers the gauges of a node.
 func (m *meter) addGauges(n *Node) {
 	gauge := func(name string, f func() float64) { m.set.NewGauge("toucan_"+name, f) }
@@ -43,6 +52,9 @@
 	gauge("requests_active", func() float64 { return float64(n.server.Active()) })
 	gauge("body_bytes", func() float64 { return float64(n.bodies.Used()) })
 	gauge("body_bytes_limit", func() float64 { return float64(n.bodies.Limit()) })
+	gauge("caller_connections", func() float64 { return float64(n.ledger.Conns()) })
+	gauge("caller_kernel_bytes", func() float64 { return float64(n.ledger.KernelBytes()) })
+	gauge("caller_kernel_bytes_limit", func() float64 { return float64(n.limits.KernelBytes) })
 	gauge("members", func() float64 { return float64(n.fleet.Size()) })
 	gauge("configuration_version", func() float64 { return float64(n.configVersion()) })
 	gauge("log_lines_dropped", func() float64 { return float64(n.dropped()) })
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -17,6 +17,7 @@
 	"toucanhaven/toucanclock"
 	"toucanhaven/toucanentry"
 	"toucanhaven/toucanfleet"
+	"toucanhaven/toucanledger"
 	"toucanhaven/toucanmemory"
 	"toucanhaven/toucanpeer"
 	"toucanhaven/toucanretry"
@@ -91,6 +92,8 @@
 	fleet     *toucanfleet.Fleet
 	entry     *toucanentry.Entry
 	server    *toucanserve.Server
+	limits    toucanledger.Limits
+	ledger    *toucanledger.Ledger // of callers
 	bodies    *toucanmemory.Budget
 	messages  toucanpeer.MessageMemory
 	config    config
@@ -122,6 +125,7 @@
 	n.started = o.Clock.Now()
 	n.settings.Store(&o.Settings)
 	n.reload.newest = o.Settings
+	n.limits = toucanledger.NewLimits(o.Settings.MemoryMB, 0)
 	n.bodies = toucanmemory.NewBudget(int64(bodiesMemoryShare * float64(o.Settings.MemoryMB<<20)))
 	n.messages.Limit = n.bodies.Limit() + messageSlack
 	n.messages.Budget = toucanmemory.NewBudget(n.messages.Limit)
@@ -147,9 +151,9 @@
 		Service:     func() string { return n.settings.Load().Service },
 		Metrics:     n.metrics,
 	}
+	n.ledger = n.newCallerLedger()
 	n.server = &toucanserve.Server{
-		Handler: n.entry.Handle, Bounds: n.bounds, RetryAfter: bufferRetryAfter, Logger: o.Log,
-		Bodies: n.bodies,
+		Handler: n.entry.Handle, Bounds: n.bounds, RetryAfter: bufferRetryAfter, Logger: o.Log, Ledger: n.ledger,
 	}
 	n.metrics.addGauges(n)
 	return n, nil
@@ -172,11 +176,11 @@
 	}()
 	s := n.settings.Load()
 	n.log.Info("start", "node", s.Node, "service", s.Service, "data_centre", s.DataCentre, "incarnation", n.incarnation)
-	peers, err := n.listen(s.PeerAddress)
+	peers, err := n.listen(s.PeerAddress, peerBufferBytes)
 	if err != nil {
 		return err
 	}
-	callers, err := n.listen(s.CallerAddress)
+	callers, err := n.listen(s.CallerAddress, n.limits.BufferBytes)
 	if err != nil {
 		return err
 	}
@@ -192,7 +196,7 @@
 		}
 	}
 	go func() {
-		n.logListenerError(toucanpeer.Serve(newLimitedListener(peers, maxPeerConns(s.MemoryMB)), (*peerHandler)(n), n.messages, n.log))
+		n.logListenerError(toucanpeer.Serve(newLimitedListener(peers, n.limits.PeerConns), (*peerHandler)(n), n.messages, n.log))
 	}()
 	go func() { n.logListenerError(n.server.Serve(callers)) }()
 	go n.fleet.Run(n.stop)
@@ -212,8 +216,10 @@
 	}
 }
 
-func (n *Node) listen(address string) (net.Listener, error) {
-	lc := net.ListenConfig{KeepAlive: -1} // the idle timeout closes the connections of unreachable callers
+// listen listens on an address for connections with kernel buffers of a size.
+func (n *Node) listen(address string, bufferBytes int) (net.Listener, error) {
+	lc := toucanledger.ListenConfig(bufferBytes)
+	lc.KeepAlive = -1 // the idle timeout closes the connections of unreachable callers
 	l, err := lc.Listen(context.Background(), "tcp", address)
 	if err == nil {
 		n.listeners = append(n.listeners, l)
--- a/toucanpeer/codec.go
+++ b/toucanpeer/codec.go
@@ -88,8 +88,12 @@
 	return err
 }
 
-// WriteResponse writes a response. Calls end in any order.
+// WriteResponse writes a response, and then releases the memory that it holds. Calls end in any
+// order.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	if result, ok := body.(*Result); ok {
+		defer result.Release()
+	}
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	err := c.enc.Encode(r)
--- a/toucanpeer/wire.go
+++ b/toucanpeer/wire.go
@@ -55,8 +55,29 @@
 	// servers make.
 	Child  bool
 	Report Report
+
+	holding *toucanmemory.Holding // memory of the header and the body; not sent
+}
+
+// WithHolding returns a copy of the result that holds memory for its header and body. Who gets
+// the result releases it.
+func (r Result) WithHolding(h *toucanmemory.Holding) Result {
+	r.holding = h
+	return r
 }
 
+// Holding returns the memory that the result holds, or nil.
+func (r Result) Holding() *toucanmemory.Holding { return r.holding }
+
+// Share returns a copy of the result that holds the same memory.
+func (r Result) Share() Result {
+	r.holding.Share()
+	return r
+}
+
+// Release releases the memory that the result holds.
+func (r Result) Release() { r.holding.Release() }
+
 // Report is the state and load of a node and of the backend server beside it.
 type Report struct {
 	Serving  bool
--- a/toucanserve/conn.go
+++ b/toucanserve/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanledger"
 	"toucanhaven/toucanmemory"
 )
 
@@ -24,9 +25,14 @@
 	// headerSlack is the number of bytes by which a header may exceed its limit,
 	// because clients and servers count the request line and line ends differently.
 	headerSlack = 4 << 10
-	// bodyTimeout is the timeout for reading a request body and for writing a
-	// response.
+	// bodyTimeout is the longest wait for the next bytes of a request body.
 	bodyTimeout = 10 * time.Second
+	// requestBytes is the memory of a request that is handled beside another one of its
+	// connection: its goroutine, and its header up to the part that is free.
+	requestBytes = 16 << 10
+	// maxHeldBehind is the memory of a connection from which on its next request is handled
+	// only when the ones before are answered.
+	maxHeldBehind = 256 << 10
 	// idleSlack is added to the idle timeout, so that the server keeps a connection
 	// open for longer than callers reuse it.
 	idleSlack = time.Second
@@ -47,7 +53,7 @@
 // the request before is written.
 type conn struct {
 	server       *Server
-	nc           net.Conn
+	nc           *toucanledger.Conn
 	r            bufio.Reader
 	headerBudget int // number of bytes that may still be read of a header
 	header       toucanmemory.Header
@@ -91,7 +97,7 @@
 func (c *conn) awaitResponsesAndClose() {
 	<-c.lastDone
 	c.cancel()
-	if tcp, ok := c.nc.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+	if c.nc.CloseWrite() == nil {
 		c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 		io.Copy(io.Discard, c.nc)
 	}
@@ -107,6 +113,7 @@
 		c.handleCallerClose()
 		return false
 	}
+	c.nc.AwaitInput()
 	b := c.server.Bounds()
 	c.setReadTimeout(b.HeaderTimeout)
 	hr, headerHeld, err := c.readHeader(b)
@@ -117,7 +124,7 @@
 	arrived := time.Now()
 	body, bodyHeld, err := c.readBody(hr, b)
 	if err != nil {
-		c.server.Bodies.Release(headerHeld)
+		c.nc.Memory().Release(headerHeld)
 		c.handleReadError(err)
 		return false
 	}
@@ -128,16 +135,16 @@
 	path, _, _ := strings.Cut(uri, "?")
 	r := &Request{
 		Method: hr.Method, URI: uri, Path: path, Host: hr.Host,
-		Header: hr.Header, Body: body, Arrived: arrived, held: headerHeld + bodyHeld,
+		Header: hr.Header, Body: body, Arrived: arrived, conn: c, held: headerHeld + bodyHeld,
 	}
 	return c.startRequest(r, hr.Close)
 }
 
-// readHeader reads the header of a request and returns the bytes of Server.Bodies that it
+// readHeader reads the header of a request and returns the bytes of memory that it
 // holds.
 func (c *conn) readHeader(b Bounds) (hr *http.Request, held int64, err error) {
 	c.headerBudget = b.HeaderBytes + headerSlack
-	c.header.Start(c.server.Bodies, nil)
+	c.header.Start(c.nc.Memory(), nil)
 	buffered, _ := c.r.Peek(c.r.Buffered())
 	if err = c.header.Count(buffered); err == nil {
 		hr, err = http.ReadRequest(&c.r)
@@ -150,45 +157,101 @@
 	return hr, c.header.Take(), nil
 }
 
-// startRequest starts the handler of a request unless the connection is closing.
-// With maxPipelined unanswered requests, it waits until this one is answered. It
-// reports whether another request may follow.
+// startRequest starts the handler of a request unless the connection is closing. If there is no
+// memory to handle it beside the requests before, it waits until those are answered. With
+// maxPipelined unanswered requests, it waits until this one is answered. It reports whether
+// another request may follow.
 func (c *conn) startRequest(r *Request, closeAfter bool) bool {
 	prev, done := c.lastDone, make(chan struct{})
 	c.mu.Lock()
 	if c.closing {
 		c.mu.Unlock()
-		c.server.Bodies.Release(r.held)
+		c.nc.Memory().Release(r.held)
 		return false
 	}
 	r.Pipelined = c.pending > 0
 	c.pending++
 	full := c.pending >= maxPipelined
+	c.nc.EndInput()
 	c.mu.Unlock()
 	c.lastDone = done
 	c.server.activeRequests.Add(1)
+	if r.Pipelined && !c.reserveBeside(r) {
+		c.nc.PauseInput()
+		<-prev
+		if c.isClosing() {
+			c.endRequest(r, done)
+			return false
+		}
+	}
 	c.server.workers.run(func() { c.handleRequest(r, prev, done, closeAfter) })
 	if full {
+		c.nc.PauseInput()
 		<-done
 	}
 	return !closeAfter
 }
 
+// reserveBeside takes memory for the handling of a request beside others of the connection. It
+// returns false if they hold so much that it has to wait for them.
+func (c *conn) reserveBeside(r *Request) bool {
+	memory := c.nc.Memory()
+	if memory.Used()-r.held > maxHeldBehind || !memory.Reserve(requestBytes) {
+		return false
+	}
+	r.held += requestBytes
+	return true
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// endRequest ends a request that is not handled, because its connection is closing.
+func (c *conn) endRequest(r *Request, done chan struct{}) {
+	c.nc.Memory().Release(r.held)
+	c.server.activeRequests.Add(-1)
+	close(done)
+}
+
 // handleRequest runs the handler and writes the response once prev is closed.
 func (c *conn) handleRequest(r *Request, prev <-chan struct{}, done chan struct{}, closeAfter bool) {
 	defer close(done)
 	defer c.server.activeRequests.Add(-1)
-	resp := c.server.Handler(c.ctx, r)
-	c.server.Bodies.Release(r.held)
-	if resp != nil {
-		held := int64(len(resp.body)) + resp.headerCost()
-		c.server.Bodies.Take(held)
-		defer c.server.Bodies.Release(held)
-	}
+	resp := c.takeMemory(r, c.server.Handler(c.ctx, r))
+	defer c.releaseMemory(r, resp)
 	<-prev
 	c.writeResponse(r, resp, closeAfter)
 }
 
+// takeMemory exchanges the memory of a request for that of its response. If there is too little
+// and the handler has not taken it, it returns another response, which promises nothing.
+func (c *conn) takeMemory(r *Request, resp *Response) *Response {
+	c.nc.Memory().Release(r.held)
+	if resp == nil {
+		r.ReleaseAnswer()
+		return nil
+	}
+	if !r.TakeAnswer(resp) {
+		resp.counted.Release()
+		resp = NewResponse(http.StatusBadGateway, nil, nil)
+	}
+	r.releaseSurplus(resp)
+	c.nc.Share(resp.counted.Bytes())
+	return resp
+}
+
+// releaseMemory releases the memory of a response that has been written.
+func (c *conn) releaseMemory(r *Request, resp *Response) {
+	r.ReleaseAnswer()
+	if resp != nil {
+		c.nc.Share(-resp.counted.Bytes())
+		resp.counted.Release()
+	}
+}
+
 // writeResponse writes the response, or nothing if the connection is already
 // closing. It then closes the connection if closeAfter is set, if the response is
 // nil, or if the server is draining and no further request has been read.
@@ -206,7 +269,6 @@
 	c.mu.Unlock()
 	var err error
 	if resp != nil {
-		c.nc.SetWriteDeadline(time.Now().Add(bodyTimeout))
 		err = c.send(r, resp, closing)
 	}
 	switch {
@@ -230,6 +292,7 @@
 	case c.pending > 0:
 		c.nc.SetReadDeadline(time.Time{})
 	default:
+		c.nc.AwaitInput()
 		c.nc.SetReadDeadline(time.Now().Add(c.server.Bounds().IdleTimeout + idleSlack))
 	}
 }
@@ -298,7 +361,7 @@
 	return NewRefusal(status, proof, retryAfter)
 }
 
-// readBody reads the complete body and returns the bytes of Server.Bodies that it holds.
+// readBody reads the complete body and returns the bytes of memory that it holds.
 // A slow sender then takes no slot of a backend server while it sends, and the request can
 // be retried.
 func (c *conn) readBody(hr *http.Request, b Bounds) (body []byte, held int64, err error) {
@@ -315,7 +378,22 @@
 		}
 	}
 	c.setReadTimeout(bodyTimeout)
-	return toucanmemory.Reader{Budget: c.server.Bodies, Limit: b.BodyBytes}.ReadAll(hr.Body, hr.ContentLength)
+	return toucanmemory.Reader{Budget: c.nc.Memory(), Limit: b.BodyBytes}.ReadAll(bodyReader{hr.Body, c}, hr.ContentLength)
+}
+
+// bodyReader reads a request body, for as long as the caller makes progress.
+type bodyReader struct {
+	io.Reader
+	c *conn
+}
+
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.c.nc.CountInput(n)
+		r.c.setReadTimeout(bodyTimeout)
+	}
+	return n, err
 }
 
 // send writes a response. A small body is sent in one write with the header, a large one
--- a/toucanserve/response.go
+++ b/toucanserve/response.go
@@ -14,6 +14,16 @@
 	status int
 	header http.Header // end-to-end fields; the server sets Content-Length and Connection
 	body   []byte
+	// counted is the part of its memory that others count too; nil for none.
+	counted *toucanmemory.Holding
+}
+
+// WithHolding returns a copy of the response whose memory is counted by h as far as it goes. The
+// server releases h once the response has been written.
+func (r *Response) WithHolding(h *toucanmemory.Holding) *Response {
+	c := *r
+	c.counted = h
+	return &c
 }
 
 // NewResponse returns a response with the end-to-end fields of header. A status that
@@ -40,6 +50,9 @@
 	return resp
 }
 
+// Memory returns the bytes of memory that the response counts as.
+func (r *Response) Memory() int64 { return int64(len(r.body)) + r.headerCost() }
+
 // headerCost returns the bytes of memory that the header counts as.
 func (r *Response) headerCost() int64 {
 	fields, bytes := 0, 0
--- a/toucanserve/serve_test.go
+++ b/toucanserve/serve_test.go
@@ -9,23 +9,31 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanledger"
 	"toucanhaven/toucanmemory"
 	"toucanhaven/toucanserve"
 )
 
 func startServer(t *testing.T, h toucanserve.Handler) (*toucanserve.Server, string) {
 	s := &toucanserve.Server{
-		Handler: h, Bodies: toucanmemory.NewBudget(1000), RetryAfter: time.Second, Logger: slog.New(slog.DiscardHandler),
+		Handler: h, RetryAfter: time.Second, Logger: slog.New(slog.DiscardHandler),
+		Ledger: toucanledger.New(toucanledger.Options{
+			Memory: toucanmemory.NewBudget(16 << 20), Conns: 100, BufferBytes: 32 << 10, Clock: toucanclock.System{}, Log: slog.New(slog.DiscardHandler),
+		}),
 		Bounds: func() toucanserve.Bounds {
 			return toucanserve.Bounds{HeaderBytes: 1000, BodyBytes: 500, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
 		},
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	lc := toucanledger.ListenConfig(32 << 10)
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,3 +157,59 @@
 		}
 	}
 }
+
+// Requests behind a response that its caller does not read must not run once the connection holds
+// much, and run when the caller reads.
+func TestUnreadAnswerHoldsBackPipeline(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int64
+	_, address := startServer(t, func(context.Context, *toucanserve.Request) *toucanserve.Response {
+		handled.Add(1)
+		return toucanserve.NewResponse(200, nil, make([]byte, 600<<10))
+	})
+	small := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	c, err := small.Dial("tcp", address)
+	is.NoErr(err)
+	defer c.Close()
+	const requests = 16
+	io.WriteString(c, "GET /0 HTTP/1.1\r\nHost: h\r\n\r\n")
+	for handled.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the response holds its memory
+	for i := range requests - 1 {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i+1)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if n := handled.Load(); n >= requests/2 {
+		t.Fatalf("%d of %d requests have run behind an unread response, want less than half", n, requests)
+	}
+	r := bufio.NewReader(c)
+	for range requests {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		n, err := io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(n, int64(600<<10))
+	}
+	is.Equal(handled.Load(), int64(requests))
+}
+
+// A response for which there is no memory must not be sent as if the request had been answered, or
+// had not run.
+func TestResponseBeyondMemoryPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, func(context.Context, *toucanserve.Request) *toucanserve.Response {
+		return toucanserve.NewResponse(200, nil, make([]byte, 20<<20))
+	})
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+}
--- a/toucanserve/server.go
+++ b/toucanserve/server.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"toucanhaven/toucanmemory"
+	"toucanhaven/toucanledger"
 )
 
 // Request is a request with its complete body.
@@ -30,7 +30,47 @@
 	// Pipelined is set if the request before on the connection had no response yet. The
 	// response to this request follows that one.
 	Pipelined bool
-	held      int64 // bytes of Server.Bodies that the header and the body hold
+
+	conn         *conn
+	held         int64 // bytes of memory that the header and the body hold
+	answerMemory int64 // bytes of memory that are taken for the response
+}
+
+// ReserveAnswer takes memory for a response of a size, before the request runs. It returns
+// false if there is too little, even after other connections have been closed. Bytes that the
+// response does not need are released when the handler returns.
+func (r *Request) ReserveAnswer(size int64) (ok bool) {
+	need := size - r.answerMemory
+	if need <= 0 || r.conn == nil {
+		return true
+	}
+	if !r.conn.nc.Memory().Grow(r.answerMemory, need) {
+		return false
+	}
+	r.answerMemory += need
+	return true
+}
+
+// TakeAnswer takes the memory of a response beyond what has been reserved for it. It returns
+// false if there is too little. The request may have run then.
+func (r *Request) TakeAnswer(resp *Response) (ok bool) {
+	return r.ReserveAnswer(resp.Memory() - resp.counted.Bytes())
+}
+
+// ReleaseAnswer releases the memory that ReserveAnswer took.
+func (r *Request) ReleaseAnswer() { r.keepAnswerMemory(0) }
+
+// releaseSurplus releases the memory that was reserved beyond what a response needs.
+func (r *Request) releaseSurplus(resp *Response) {
+	r.keepAnswerMemory(max(0, resp.Memory()-resp.counted.Bytes()))
+}
+
+// keepAnswerMemory releases the memory taken for the response beyond n bytes.
+func (r *Request) keepAnswerMemory(n int64) {
+	if surplus := r.answerMemory - n; surplus > 0 {
+		r.conn.nc.Memory().Release(surplus)
+		r.answerMemory = n
+	}
 }
 
 // Handler handles a request. ctx ends when the caller closes the connection. If
@@ -50,9 +90,9 @@
 type Server struct {
 	Handler Handler
 	Bounds  func() Bounds // called for each request
-	// Bodies bounds the bytes of headers and bodies in memory. A request that does not fit
+	// Ledger bounds what the connections hold. A request that does not fit into its memory
 	// gets status 503.
-	Bodies *toucanmemory.Budget
+	Ledger *toucanledger.Ledger
 	// RetryAfter is the value of the Retry-After header in these 503 responses.
 	RetryAfter time.Duration
 	Logger     *slog.Logger
@@ -61,6 +101,7 @@
 	activeRequests atomic.Int64 // number of requests without a response
 	mu             sync.Mutex
 	conns          map[*conn]struct{}
+	listeners      []*toucanledger.Listener
 
 	workersOnce  sync.Once
 	workers      *workerPool
@@ -70,8 +111,12 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.startWorkers()
+	entered := s.Ledger.Listen(l)
+	s.mu.Lock()
+	s.listeners = append(s.listeners, entered)
+	s.mu.Unlock()
 	for {
-		nc, err := l.Accept()
+		nc, err := entered.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -80,7 +125,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go s.newConn(nc).serve()
+		go s.newConn(nc.(*toucanledger.Conn)).serve()
 	}
 }
 
@@ -103,10 +148,13 @@
 	}
 }
 
-// Close closes all connections and cancels their requests.
+// Close closes the listeners and all connections, and cancels their requests.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		l.Close()
+	}
 	for c := range s.conns {
 		c.cancel()
 		c.nc.Close()
@@ -123,7 +171,7 @@
 // Active returns the number of requests without a response.
 func (s *Server) Active() int { return int(s.activeRequests.Load()) }
 
-func (s *Server) newConn(nc net.Conn) *conn {
+func (s *Server) newConn(nc *toucanledger.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{server: s, nc: nc, ctx: ctx, cancel: cancel}
 	c.r.Reset(&limitedReader{c: c})
