toucanmesh: clients that do not read keep nobody from the control listeners

What the platform saw: 80 clients pipelined requests to the readiness address and read nothing, and nobody got an answer of /readyz for 36 s. Heartbeats and metrics behaved the same.

Cause: each of these listeners accepts 64 connections, and a write had no bound, so connections with unread answers kept all places for ever.

Fix: their connections are in a ledger.

--- a/cmd/toucanhaven/clients_test.go
+++ b/cmd/toucanhaven/clients_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -20,7 +21,7 @@
 )
 
 // The tests in this file start processes beside clients that do not behave: they leave
-// answers unread. Their crowds and bounds are fixed. What is checked does not
+// answers unread, or hold connections. Their crowds and bounds are fixed. What is checked does not
 // depend on the speed of the machine: the process lives, its memory and its open
 // descriptors stay within its limits, and an ordinary request is answered.
 const (
@@ -61,6 +62,28 @@
 	}
 }
 
+// Clients that do not read the answers of the listeners for readiness checks, heartbeats and
+// metrics must not keep others from them.
+func TestClientsLeaveControlAnswersUnread(t *testing.T) {
+	program := buildLimited(t, crowdDescriptors)
+	for _, tt := range []struct {
+		name    string
+		address func(n *testNode) string
+		request string
+	}{
+		{"readiness", func(n *testNode) string { return n.ready }, "GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"heartbeats", func(n *testNode) string { return n.control }, "PUT /instances/i-2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"},
+		{"metrics", func(n *testNode) string { return n.metrics }, "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newCrowdTest(t, program)
+			text := strings.Repeat(tt.request, 20_000)
+			crowd := startCrowd(80, tt.address(m.victim), func(int) string { return text }, nil)
+			m.checkBeside(crowd)
+		})
+	}
+}
+
 // crowdTest is a process with low limits, which clients that do not behave connect to, and another
 // one with higher limits. Both have sound backend servers with long and small answers.
 type crowdTest struct {
@@ -143,7 +166,8 @@
 	}
 }
 
-// checkOrdinary checks that an ordinary caller is answered.
+// checkOrdinary checks that an ordinary caller, the platform's readiness check, the backend server
+// and the operator's look at the metrics are answered.
 func (m *crowdTest) checkOrdinary(when string) {
 	m.t.Helper()
 	for _, ordinary := range []struct {
@@ -152,6 +176,9 @@
 		ask  func() (int, error)
 	}{
 		{"request", http.StatusOK, func() (int, error) { status, _, err := m.sendOther(); return status, err }},
+		{"readiness check", http.StatusOK, func() (int, error) { return getStatus(m.victim.ready, "/readyz") }},
+		{"request to the control listener", http.StatusNotFound, func() (int, error) { return getStatus(m.victim.control, "/") }},
+		{"request for metrics", http.StatusOK, func() (int, error) { return getStatus(m.victim.metrics, "/metrics") }},
 	} {
 		var status int
 		var err error
@@ -168,6 +195,21 @@
 	}
 }
 
+// getStatus sends a request on a new connection and returns the status of its whole response.
+func getStatus(address, path string) (int, error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path); err != nil {
+		return 0, err
+	}
+	status, _, err := readResponse(bufio.NewReader(c))
+	return status, err
+}
+
 // sample records the largest use of memory and descriptors until the test stops it.
 func (m *crowdTest) sample() {
 	m.victim.mu.Lock()
--- a/toucanmesh/listen.go
+++ b/toucanmesh/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"toucanhaven/toucanledger"
+	"toucanhaven/toucanmemory"
 )
 
 const (
@@ -23,16 +24,23 @@
 )
 
 // serveHTTP serves an address with a handler in the background. What clients can make it hold is
-// bounded.
-func (n *Node) serveHTTP(address string, h http.Handler) error {
+// bounded. name tells the listener apart in the log.
+func (n *Node) serveHTTP(name, address string, h http.Handler) error {
 	l, err := n.listen(address, toucanledger.ControlBufferBytes)
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: h, ReadTimeout: controlTimeout, IdleTimeout: controlIdleTimeout, MaxHeaderBytes: maxControlHeader}
+	ledger := toucanledger.New(toucanledger.Options{
+		Name: name, Memory: &toucanmemory.Budget{}, Conns: n.limits.ControlConns, BufferBytes: toucanledger.ControlBufferBytes,
+		Clock: n.clock, Log: n.log, OnClose: n.metrics.closedConn(name),
+	})
+	srv := &http.Server{
+		Handler: h, ReadTimeout: controlTimeout, IdleTimeout: controlIdleTimeout, MaxHeaderBytes: maxControlHeader,
+		ConnState: toucanledger.ConnState,
+	}
 	n.servers = append(n.servers, srv)
 	go func() {
-		err := srv.Serve(newLimitedListener(l, n.limits.ControlConns))
+		err := srv.Serve(ledger.Listen(l))
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.logListenerError(err)
 		}
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -184,14 +184,14 @@
 	if err != nil {
 		return err
 	}
-	if err := n.serveHTTP(s.ControlAddress, n.platform.ControlHandler(n, n.log)); err != nil {
+	if err := n.serveHTTP("control", s.ControlAddress, n.platform.ControlHandler(n, n.log)); err != nil {
 		return err
 	}
-	if err := n.serveHTTP(s.ReadyAddress, n.platform.ReadyHandler(n.Ready)); err != nil {
+	if err := n.serveHTTP("ready", s.ReadyAddress, n.platform.ReadyHandler(n.Ready)); err != nil {
 		return err
 	}
 	if s.MetricsAddress != "" {
-		if err := n.serveHTTP(s.MetricsAddress, n.metrics); err != nil {
+		if err := n.serveHTTP("metrics", s.MetricsAddress, n.metrics); err != nil {
 			return err
 		}
 	}
