toucanmesh: connections of callers leave descriptors to the rest

What callers saw: with 400 descriptors and 600 idle connections, each opened again when it was closed, ordinary requests got no answer.

Cause: the listener of callers took all descriptors, so that nothing could be accepted and no backend server or node could be reached.

Fix: the number of callers' connections follows from the descriptors (new setting max_descriptors, filled in by the platform; by default what the system allows) and from memory_mb.

--- a/cmd/toucanhaven/clients_test.go
+++ b/cmd/toucanhaven/clients_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// Connections on which clients send nothing, or not all of a request, must not keep others out
+// when there are more than the process has descriptors.
+func TestClientsHoldConnections(t *testing.T) {
+	program := buildLimited(t, crowdDescriptors)
+	caller := func(n *testNode) string { return n.caller }
+	for _, tt := range []struct {
+		name    string
+		address func(n *testNode) string
+		text    func(client int) string
+	}{
+		{"idle", caller, func(int) string { return "" }},
+		{"part_of_a_head", caller, func(int) string { return "GET /read/1 HTTP/1.1\r\nHost: a\r\nX-A: " }},
+		{"part_of_a_body", caller, func(int) string {
+			return "POST /order/1 HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Request-Id: b\r\nContent-Length: 60000\r\n\r\nx"
+		}},
+		{"after_an_answer", caller, pipelinedRequests("small", 1)},
+		{"readiness", func(n *testNode) string { return n.ready }, func(int) string { return "" }},
+		{"heartbeats", func(n *testNode) string { return n.control }, func(int) string { return "" }},
+		{"metrics", func(n *testNode) string { return n.metrics }, func(int) string { return "" }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newCrowdTest(t, program)
+			crowd := startCrowd(600, tt.address(m.victim), tt.text, func(c net.Conn) { io.Copy(io.Discard, c) })
+			m.checkBeside(crowd)
+		})
+	}
+}
+
 // crowdTest is a process with low limits, which clients that do not behave connect to, and another
 // one with higher limits. Both have sound backend servers with long and small answers.
 type crowdTest struct {
--- a/toucanmesh/listen.go
+++ b/toucanmesh/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -51,7 +50,7 @@
 // newCallerLedger returns the ledger of the connections of callers.
 func (n *Node) newCallerLedger() *toucanledger.Ledger {
 	return toucanledger.New(toucanledger.Options{
-		Name: "callers", Memory: n.bodies, Grow: n.runner.Grow, Conns: math.MaxInt,
+		Name: "callers", Memory: n.bodies, Grow: n.runner.Grow, Conns: n.limits.CallerConns,
 		KernelBytes: n.limits.KernelBytes, BufferBytes: n.limits.BufferBytes,
 		Clock: n.clock, Log: n.log, OnClose: n.metrics.closedConn("callers"),
 	})
--- a/toucanmesh/metrics.go
+++ b/toucanmesh/metrics.go
@@ -53,6 +53,7 @@
 	gauge("body_bytes", func() float64 { return float64(n.bodies.Used()) })
 	gauge("body_bytes_limit", func() float64 { return float64(n.bodies.Limit()) })
 	gauge("caller_connections", func() float64 { return float64(n.ledger.Conns()) })
+	gauge("caller_connections_limit", func() float64 { return float64(n.limits.CallerConns) })
 	gauge("caller_kernel_bytes", func() float64 { return float64(n.ledger.KernelBytes()) })
 	gauge("caller_kernel_bytes_limit", func() float64 { return float64(n.limits.KernelBytes) })
 	gauge("members", func() float64 { return float64(n.fleet.Size()) })
--- a/toucanmesh/node.go
+++ b/toucanmesh/node.go
@@ -125,7 +125,7 @@
 	n.started = o.Clock.Now()
 	n.settings.Store(&o.Settings)
 	n.reload.newest = o.Settings
-	n.limits = toucanledger.NewLimits(o.Settings.MemoryMB, 0)
+	n.limits = toucanledger.NewLimits(o.Settings.MemoryMB, o.Settings.MaxDescriptors)
 	n.bodies = toucanmemory.NewBudget(int64(bodiesMemoryShare * float64(o.Settings.MemoryMB<<20)))
 	n.messages.Limit = n.bodies.Limit() + messageSlack
 	n.messages.Budget = toucanmemory.NewBudget(n.messages.Limit)
--- a/toucanmesh/reload_test.go
+++ b/toucanmesh/reload_test.go
@@ -32,6 +32,7 @@
 	{"backend_address", `"127.0.0.1:1"`, true},
 	{"store_address", `"127.0.0.1:1"`, false},
 	{"memory_mb", "16", false},
+	{"max_descriptors", "500", false},
 	{"heartbeat", `"1ns"`, true},
 	{"grace", `"1ns"`, true},
 	{"config_delay", `"1ns"`, false},
--- a/toucanmesh/settings.go
+++ b/toucanmesh/settings.go
@@ -30,6 +30,9 @@
 	BackendAddress string `toml:"backend_address"`
 	StoreAddress   string `toml:"store_address"`
 	MemoryMB       int    `toml:"memory_mb"` // memory limit of the process
+	// MaxDescriptors is the number of descriptors that the process may use; 0 means what the
+	// system allows.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// Heartbeat is the interval between heartbeats of the backend server.
 	Heartbeat duration `toml:"heartbeat"`
 	// Grace is the time between SIGTERM and the end of the process.
@@ -63,6 +66,9 @@
 	return names
 }
 
+// minDescriptors is the least number of descriptors that may be set.
+const minDescriptors = 16
+
 // defaultConfigDelay is the ConfigDelay of settings without one.
 const defaultConfigDelay = 2 * time.Second
 
@@ -116,6 +122,8 @@
 	switch {
 	case s.MemoryMB < 16:
 		return fmt.Errorf("memory_mb is %d, want at least 16", s.MemoryMB)
+	case s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors:
+		return fmt.Errorf("max_descriptors is %d, want at least %d, or 0 for what the system allows", s.MaxDescriptors, minDescriptors)
 	case s.Heartbeat.Duration <= 0:
 		return fmt.Errorf("heartbeat is %v, want more than 0", s.Heartbeat)
 	case s.Grace.Duration <= 0:
--- a/toucanmesh/settings_test.go
+++ b/toucanmesh/settings_test.go
@@ -38,6 +38,7 @@
 		{"bad_address", `"127.0.0.1:4"`, `"here"`, `peer_address "here" is not HOST:PORT`},
 		{"bad_time", `"6s"`, `"six"`, "invalid duration"},
 		{"no_heartbeat", `"1.5s"`, `"0s"`, "heartbeat is 0s, want more than 0"},
+		{"few_descriptors", "memory_mb = 284", "memory_mb = 284\nmax_descriptors = 4", "max_descriptors is 4, want at least 16"},
 		{"little_memory", "284", "4", "memory_mb is 4, want at least 16"},
 		{"negative", "0.2", "-1", "must not be negative"},
 	} {
