toucanentry: take the memory of an answer before each attempt

A request that the own server refused and that went on to another node had no memory taken for its answer. Now each attempt has it, and the refusal says when memory comes back.

TestAnswersBeyondMemoryAreRefusedBeforeTheRun: with memory_mb 16 and 20 unread answers of 600 KiB, 5 are whole and 15 get a 503 that is true; none is dropped after its run.

--- a/toucanentry/entry.go
+++ b/toucanentry/entry.go
@@ -195,10 +195,6 @@
 	q.header = e.endToEndFields(q.Header)
 	q.step = e.Runner.CallStep(q.id)
 	e.RetryBudget.CountRequest(q.service, q.route.Priority == 0)
-	if !q.ReserveAnswer(e.sizes.Expected(q.route.Name)) {
-		q.reason = reasonMemory
-		return e.refuse(q, memoryRetryAfter)
-	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(outcomeGrace))
 	defer cancel()
 	return e.sendUntilAnswered(ctx, q)
@@ -214,6 +210,10 @@
 			q.reason = toucancall.ReasonDeadline
 			return e.respondUnanswered(q)
 		}
+		if !q.ReserveAnswer(e.sizes.Expected(q.route.Name)) {
+			q.reason = reasonMemory
+			return e.respondUnanswered(q)
+		}
 		target, ok := e.Fleet.Choose(q.service, q.route.Name, q.route.Target, excluded)
 		if !ok {
 			if q.reason == "" {
@@ -305,7 +305,11 @@
 // returned one.
 func (e *Entry) respondUnanswered(q *request) *toucanserve.Response {
 	e.throttle.withdrawRequest(q.route.Name, e.Clock.Now())
-	if q.attempts.PossibleRuns() == 0 {
+	switch {
+	case q.attempts.PossibleRuns() > 0:
+	case q.reason == reasonMemory:
+		return e.refuse(q, memoryRetryAfter)
+	default:
 		return e.refuse(q, e.retryAfter(q.route))
 	}
 	if !q.deadline.After(e.Clock.Now()) {
