--- a/toucanserve/serve_test.go
+++ b/toucanserve/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -213,3 +214,54 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
+
+// A caller that reads or sends slowly, but makes progress, must not be cut off for the time that it
+// takes.
+func TestSlowCallerIsServedWhole(t *testing.T) {
+	const pause, steps = 250 * time.Millisecond, 45 // longer than 10 s
+	body := bytes.Repeat([]byte("0123456789abcdef"), 100<<6)
+	_, address := startServer(t, func(_ context.Context, r *toucanserve.Request) *toucanserve.Response {
+		if len(r.Body) > 0 {
+			return toucanserve.NewResponse(200, nil, r.Body)
+		}
+		return toucanserve.NewResponse(200, nil, body)
+	})
+	small := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	t.Run("reads", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		c, err := small.Dial("tcp", address)
+		is.NoErr(err)
+		defer c.Close()
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		var got bytes.Buffer
+		for range steps {
+			_, err := io.CopyN(&got, c, int64(len(body)/steps))
+			is.NoErr(err)
+			time.Sleep(pause)
+		}
+		_, err = io.Copy(&got, c)
+		is.NoErr(err)
+		is.True(bytes.HasSuffix(got.Bytes(), append([]byte("\r\n\r\n"), body...)))
+	})
+	t.Run("sends", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		c, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer c.Close()
+		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", steps)
+		for range steps {
+			_, err := io.WriteString(c, "x")
+			is.NoErr(err)
+			time.Sleep(pause)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		got, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(got), strings.Repeat("x", steps))
+	})
+}
