toucannode: unread streams give up their slots, connections are bounded

What callers saw: 100 clients that read nothing of a streamed answer kept all 20 slots of the backend server until their deadlines; ordinary calls got not_run.

Cause: a streamed answer holds its slot while its caller reads, whatever progress it makes. The connections of callers had no bound but the descriptors.

Fix: the connections of each listener are in a ledger. While calls wait for a slot, the worst connection that holds one is closed, one in 50 ms. Limits follow from the new setting memory_mb and from the descriptors.

--- a/toucannode/body.go
+++ b/toucannode/body.go
@@ -25,6 +25,7 @@
 // body and the time that a read may wait.
 type senderReader struct {
 	r           io.Reader
+	conn        *meteredConn // nil if the sender is not on one
 	control     *http.ResponseController
 	idleTimeout time.Duration
 	bytesLeft   int64
@@ -41,7 +42,7 @@
 	if s.stopping.Load() {
 		return 0, errReadStopped
 	}
-	n, err := s.r.Read(p)
+	n, err := s.readAwaited(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
 		return n, errReadStopped
 	}
@@ -55,6 +56,16 @@
 	return n, err
 }
 
+// readAwaited reads, and marks that the process waits for the sender meanwhile.
+func (s *senderReader) readAwaited(p []byte) (int, error) {
+	if s.conn == nil {
+		return s.r.Read(p)
+	}
+	s.conn.AwaitInput()
+	defer s.conn.EndInput()
+	return s.r.Read(p)
+}
+
 // clearDeadline removes the read deadline. After the body, http.Server keeps
 // reading the connection to notice that the caller disconnected, and would take
 // an expired deadline for a disconnect.
@@ -87,6 +98,7 @@
 		r: r.Body, control: http.NewResponseController(w),
 		idleTimeout: n.settings.Limits.BodyIdleTimeout, bytesLeft: limit,
 	}
+	sender.conn, _ = connOf(r)
 	b := &inboundBody{length: r.ContentLength, trailer: r.Trailer, sender: sender}
 	size := int64(maxBufferedBodyBytes)
 	if b.length >= 0 {
--- a/toucannode/metered.go
+++ b/toucannode/metered.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"net/http"
+	"time"
 
+	"toucanhaven/toucanledger"
 	"toucanhaven/toucanmemory"
 )
 
@@ -14,31 +16,26 @@
 )
 
 // meteredListener accepts connections that count the headers of their requests.
-type meteredListener struct {
-	net.Listener
-	headers *toucanmemory.Budget
-}
+type meteredListener struct{ *toucanledger.Listener }
 
 func (l meteredListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	tcp, ok := c.(*net.TCPConn)
-	if err != nil || !ok {
-		return c, err
+	if err != nil {
+		return nil, err
 	}
-	return &meteredConn{TCPConn: tcp, headers: l.headers}, nil
+	return &meteredConn{Conn: c.(*toucanledger.Conn)}, nil
 }
 
-// meteredConn is a connection of a caller whose request headers are counted in a budget
+// meteredConn is a connection of a caller whose request headers are counted in its memory
 // while they are read and as long as their requests are active. A connection whose header
 // does not fit is closed, which says nothing about a request that was not read.
 type meteredConn struct {
-	*net.TCPConn
-	headers *toucanmemory.Budget
-	header  toucanmemory.Header
+	*toucanledger.Conn
+	header toucanmemory.Header
 }
 
 func (c *meteredConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if err := c.header.Count(p[:n]); err != nil {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err} // net/http answers other errors with 400
 	}
@@ -53,9 +50,10 @@
 	if !ok {
 		return
 	}
+	toucanledger.ConnState(m.Conn, state)
 	switch state {
 	case http.StateNew, http.StateIdle:
-		m.header.Start(m.headers, nil)
+		m.header.Start(m.Memory(), nil)
 	case http.StateActive:
 		m.header.Stop()
 	case http.StateClosed, http.StateHijacked:
@@ -63,6 +61,24 @@
 	}
 }
 
+// slotPoll is the interval at which a connection whose caller does not read an answer is closed
+// while calls wait for its slot.
+const slotPoll = 50 * time.Millisecond
+
+// freeSlots closes the worst connection that holds a slot without progress of its caller, if calls
+// wait for a slot.
+func (n *Node) freeSlots() {
+	if n.admission.Status().Queued > 0 {
+		n.closeStalledStream()
+	}
+}
+
+func (n *Node) closeStalledStream() {
+	if !n.callerConns.CloseForSlot() {
+		n.callingNodes.CloseForSlot()
+	}
+}
+
 // messageConn is a control connection whose messages are bounded.
 type messageConn struct {
 	net.Conn
--- a/toucannode/metered_test.go
+++ b/toucannode/metered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -10,6 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"toucanhaven/toucanclock"
+	"toucanhaven/toucanledger"
 	"toucanhaven/toucanmemory"
 )
 
@@ -24,7 +27,10 @@
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "whole") }),
 		ConnState: meterState,
 	}
-	go server.Serve(meteredListener{l, budget})
+	ledger := toucanledger.New(toucanledger.Options{
+		Memory: budget, Conns: 100, Clock: toucanclock.System{}, Log: slog.New(slog.DiscardHandler),
+	})
+	go server.Serve(meteredListener{ledger.Listen(l)})
 	t.Cleanup(func() { server.Close() })
 	exchange := func(request string) string {
 		c, err := net.Dial("tcp", l.Addr().String())
--- a/toucannode/metrics.go
+++ b/toucannode/metrics.go
@@ -10,6 +10,7 @@
 
 	"toucanhaven/toucanbalance"
 	"toucanhaven/toucancall"
+	"toucanhaven/toucanledger"
 )
 
 // Bounds on the number of series. Names beyond them share one series with the
@@ -123,6 +124,11 @@
 	return count
 }
 
+// countClosedConn counts a connection of a listener that was closed for a shortage.
+func (m *nodeMetrics) countClosedConn(listener string, s toucanledger.Shortage) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("toucan_connections_closed_total{listener=%q,shortage=%q}", listener, s)).Inc()
+}
+
 // countRequest counts a request that ended at its entry. An unknown service
 // gets no series of its own, because callers can invent names.
 func (m *nodeMetrics) countRequest(c toucancall.Call, o toucancall.Outcome, known bool, d time.Duration) {
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -7,6 +7,7 @@
 package toucannode
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 	"toucanhaven/toucanclock"
 	"toucanhaven/toucanconn"
 	"toucanhaven/toucankv"
+	"toucanhaven/toucanledger"
 	"toucanhaven/toucanmember"
 	"toucanhaven/toucanmemory"
 	"toucanhaven/toucansettings"
@@ -102,6 +104,10 @@
 	peers           *toucanconn.Pool
 	backends        *toucanconn.Pool
 	headers         *toucanmemory.Budget // of requests and answers
+	limits          toucanledger.Limits
+	callerConns     *toucanledger.Ledger // connections of the caller listener
+	callingNodes    *toucanledger.Ledger // connections of the peer listener
+	adminConns      *toucanledger.Ledger // connections of the admin listener
 	controlMessages *toucanmemory.Budget // that are being read
 	metrics         *nodeMetrics
 	admin           *http.ServeMux
@@ -149,6 +155,11 @@
 	n.peers, n.backends = toucanconn.NewPool(peerIdleTimeout, n.clock.Now, memory), toucanconn.NewPool(backendIdleTimeout, n.clock.Now, memory)
 	n.controlClients = &controlClients{clock: n.clock, messages: n.controlMessages}
 	n.metrics = newNodeMetrics(n)
+	n.limits = toucanledger.NewLimits(cmp.Or(n.settings.MemoryMB, toucansettings.DefaultMemoryMB), 0)
+	// Each request takes a connection to a backend server or to another node as well.
+	n.callerConns = n.newLedger("callers", n.limits.CallerConns/2)
+	n.callingNodes = n.newLedger("peers", n.limits.CallerConns/4)
+	n.adminConns = n.newLedger("admin", n.limits.ControlConns)
 	if n.kv != nil {
 		n.kv = countingStore{n.kv, n.metrics}
 	}
@@ -163,6 +174,14 @@
 	return n, nil
 }
 
+// newLedger returns the ledger of a listener.
+func (n *Node) newLedger(name string, conns int) *toucanledger.Ledger {
+	return toucanledger.New(toucanledger.Options{
+		Name: name, Memory: n.headers, Conns: conns, KernelBytes: n.limits.KernelBytes, BufferBytes: n.limits.BufferBytes,
+		Clock: n.clock, Log: n.log, OnClose: func(s toucanledger.Shortage) { n.metrics.countClosedConn(name, s) },
+	})
+}
+
 // setDefaults creates the components that were not given in Options.
 func (n *Node) setDefaults() error {
 	if n.directory == nil {
@@ -264,7 +283,8 @@
 	}()
 	bound := []*string{&n.addresses.Caller, &n.addresses.Peer, &n.addresses.Control, &n.addresses.Admin}
 	for i, addr := range []fmt.Stringer{s.CallerAddress, s.PeerAddress, s.ControlAddress, s.AdminAddress} {
-		l, err := net.Listen("tcp", addr.String())
+		lc := toucanledger.ListenConfig(n.limits.BufferBytes)
+		l, err := lc.Listen(context.Background(), "tcp", addr.String())
 		if err != nil {
 			return err
 		}
@@ -304,11 +324,17 @@
 	}
 	admin := n.newHTTPServer(n.admin, limits.MaxHeaderBytes)
 	n.servers = []*http.Server{caller, peer, admin}
-	for i, l := range []net.Listener{n.listeners[0], n.listeners[1], n.listeners[3]} {
-		n.background.Go(func() { n.serveListener(n.servers[i], meteredListener{l, n.headers}) })
+	for i, l := range []struct {
+		inner  net.Listener
+		ledger *toucanledger.Ledger
+	}{
+		{n.listeners[0], n.callerConns}, {n.listeners[1], n.callingNodes}, {n.listeners[3], n.adminConns},
+	} {
+		n.background.Go(func() { n.serveListener(n.servers[i], meteredListener{l.ledger.Listen(l.inner)}) })
 	}
 	n.background.Go(n.serveControl)
 	n.background.Go(func() { runEvery(n.ctx, housekeepingInterval, n.runHousekeeping) })
+	n.background.Go(func() { runEvery(n.ctx, slotPoll, n.freeSlots) })
 	for _, task := range n.backgroundTasks {
 		n.background.Go(task)
 	}
--- a/toucannode/reply.go
+++ b/toucannode/reply.go
@@ -188,6 +188,10 @@
 	if endsWithConn {
 		setResetOnClose(in.r, true)
 	}
+	if conn, ok := connOf(in.r); ok && rep.onEnd != nil {
+		conn.HoldSlot(true)
+		defer conn.HoldSlot(false)
+	}
 	outcome, reason := n.streamAnswer(w, rep)
 	rep.rest.finish(rep.requestBody)
 	if rep.onEnd != nil {
@@ -209,16 +213,18 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// connOf returns the connection of a request.
+func connOf(r *http.Request) (c *meteredConn, ok bool) {
+	c, ok = r.Context().Value(connKey{}).(*meteredConn)
+	return c, ok
+}
+
 // setResetOnClose sets whether the connection of the request is reset when it is closed,
 // also if the process ends. An HTTP/1.0 caller takes an orderly close for the end of an
 // answer without a length.
 func setResetOnClose(r *http.Request, reset bool) {
-	linger := -1 // the default
-	if reset {
-		linger = 0
-	}
-	if c, ok := r.Context().Value(connKey{}).(*meteredConn); ok {
-		_ = c.SetLinger(linger) // fails only on a closed connection
+	if c, ok := connOf(r); ok {
+		c.ResetOnClose(reset)
 	}
 }
 
--- a/toucannode/run.go
+++ b/toucannode/run.go
@@ -248,6 +248,7 @@
 func (r *run) admit(ctx context.Context) *reply {
 	slot, reason := r.n.admission.Admit(ctx, r.call)
 	if slot == nil {
+		r.n.closeStalledStream()
 		return r.withdrawKey(notRunReply(reason, ""))
 	}
 	r.slot, r.started = slot, r.n.clock.Now()
--- a/toucansettings/check.go
+++ b/toucansettings/check.go
@@ -26,6 +26,7 @@
 		{"data_centre", true, setName(&s.DataCentre)},
 		{"region", true, setName(&s.Region)},
 		{"kv_address", true, setAddress(&s.KVAddress)},
+		{"memory_mb", false, setInteger(&s.MemoryMB, 64, 1<<20)},
 		{"stop_timeout", false, setDuration(&s.StopTimeout, time.Second, 10*time.Minute)},
 		{"pprof", false, setBool(&s.Pprof)},
 		{"log_level", false, setLevel(&s.LogLevel)},
--- a/toucansettings/settings.go
+++ b/toucansettings/settings.go
@@ -21,6 +21,7 @@
 	DataCentre     string
 	Region         string
 	KVAddress      netip.AddrPort
+	MemoryMB       int // memory of the process, from which the limits on connections follow
 	Limits         Limits
 	StopTimeout    time.Duration
 	Pprof          bool
@@ -43,6 +44,9 @@
 	BodyIdleTimeout: 10 * time.Second,
 }
 
+// DefaultMemoryMB is the memory of the process if the settings file has no memory_mb.
+const DefaultMemoryMB = 256
+
 // DefaultStopTimeout is the time allowed for a graceful shutdown if the settings file
 // has no stop_timeout.
 const DefaultStopTimeout = 30 * time.Second
@@ -79,7 +83,7 @@
 	if _, err := toml.Decode(text, &table); err != nil {
 		return Settings{}, syntaxProblem(name, err)
 	}
-	s := Settings{Limits: DefaultLimits, StopTimeout: DefaultStopTimeout}
+	s := Settings{MemoryMB: DefaultMemoryMB, Limits: DefaultLimits, StopTimeout: DefaultStopTimeout}
 	c := &checker{file: name, lines: keyLines(text)}
 	c.checkTable(table, "", append(topFields(&s), field{name: "limits", set: c.setLimits(&s.Limits)}))
 	c.checkAddresses(s)
