toucanbackend: a run that has ended keeps only its result

What callers could do: each call was kept whole with its body and its id for 2 s after its end, because the timer that forgets its result held it, and each id as a string for 60 to 120 s. Neither was counted. Results of up to 4 KiB of body and 8 KiB of header were not counted either.

Fix: the timer and the history hold a key of 128 bits, from random seeds; kept results count whole and are given up first, as before. The connection that waited for a place begins its wait for input when it gets it; deadlines of writes keep the monotonic clock.

Evidence: TestEndedRunKeepsOnlyItsResult fails with the timer undone ("the call is kept while its result is"). TestClientsSendManyRequests runs with the other crowds.

--- a/cmd/toucanhaven/clients_test.go
+++ b/cmd/toucanhaven/clients_test.go
@@ -62,6 +62,41 @@
 	}
 }
 
+// What a process remembers of requests that have ended must not outgrow its memory, however many
+// there are, how long their ids and how large their bodies.
+func TestClientsSendManyRequests(t *testing.T) {
+	program := buildLimited(t, crowdDescriptors)
+	for _, tt := range []struct {
+		name           string
+		clients        int
+		requests       int // of each connection
+		idBytes, bytes int // of each request
+	}{
+		{"long_ids", 10, 1500, 3000, 0},
+		{"bodies", 10, 50, 10, 60_000},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newCrowdTest(t, program)
+			crowd := startCrowd(tt.clients, m.victim.caller, func(int) string {
+				var b strings.Builder
+				for range tt.requests {
+					fmt.Fprintf(&b, "POST /order/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %0*d\r\nX-Deadline-Ms: 1000\r\nContent-Length: %d\r\n\r\n%s",
+						platformtest.Host, tt.idBytes, crowdIDs.Add(1), tt.bytes, strings.Repeat("x", tt.bytes))
+				}
+				return b.String()
+			}, func(c net.Conn) {
+				r := bufio.NewReader(c)
+				for range tt.requests {
+					if _, _, err := readResponse(r); err != nil {
+						return
+					}
+				}
+			})
+			m.checkBeside(crowd)
+		})
+	}
+}
+
 // Clients that do not read the answers of the listeners for readiness checks, heartbeats and
 // metrics must not keep others from them.
 func TestClientsLeaveControlAnswersUnread(t *testing.T) {
@@ -343,13 +378,14 @@
 		return false
 	}
 	defer c.remove(nc)
-	if _, err := io.WriteString(nc, text); err != nil {
-		return true
-	}
 	if read != nil {
+		go io.WriteString(nc, text)
 		read(nc)
 		return true
 	}
+	if _, err := io.WriteString(nc, text); err != nil {
+		return true
+	}
 	<-closedByProcess(nc, c.stop)
 	return true
 }
--- a/toucanbackend/export_test.go
+++ b/toucanbackend/export_test.go
@@ -7,9 +7,9 @@
 func (r *Runner) Forget(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if u := r.runs[id]; u != nil {
+	if u := r.runs[keyOf(id)]; u != nil {
 		r.releaseResult(u)
-		delete(r.runs, id)
+		delete(r.runs, keyOf(id))
 	}
 }
 
@@ -19,3 +19,6 @@
 	var failing *failingError
 	return errors.As(err, &failing)
 }
+
+// UsedMemory returns the bytes of the memory for bodies that are taken.
+func (r *Runner) UsedMemory() int64 { return r.bodies.Used() }
--- a/toucanbackend/history.go
+++ b/toucanbackend/history.go
@@ -1,29 +1,40 @@
 package toucanbackend
 
 import (
+	"hash/maphash"
 	"time"
 
 	"toucanhaven/toucanpeer"
 )
 
-// idHistory is a set of ids. It keeps an id for at least toucanpeer.IDRetention and, as
-// long as further ids are added, for about twice that time at most.
-type idHistory struct {
-	current, previous map[string]struct{}
+// callKey stands for the id of a call, which may be as long as a header. Two ids have the same key
+// with a probability of 2^-128; callers cannot look for such ids, because the seeds are random.
+type callKey [2]uint64
+
+var callKeySeeds = [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}
+
+func keyOf(id string) callKey {
+	return callKey{maphash.String(callKeySeeds[0], id), maphash.String(callKeySeeds[1], id)}
+}
+
+// callHistory is a set of calls. It keeps a call for at least toucanpeer.IDRetention and, as
+// long as further calls are added, for about twice that time at most.
+type callHistory struct {
+	current, previous map[callKey]struct{}
 	currentSince      time.Time // when current was started
 }
 
-func (h *idHistory) add(id string, now time.Time) {
+func (h *callHistory) add(k callKey, now time.Time) {
 	if h.current == nil || now.Sub(h.currentSince) >= toucanpeer.IDRetention {
-		h.previous, h.current, h.currentSince = h.current, make(map[string]struct{}), now
+		h.previous, h.current, h.currentSince = h.current, make(map[callKey]struct{}), now
 	}
-	h.current[id] = struct{}{}
+	h.current[k] = struct{}{}
 }
 
-func (h *idHistory) has(id string) bool {
-	if _, ok := h.current[id]; ok {
+func (h *callHistory) has(k callKey) bool {
+	if _, ok := h.current[k]; ok {
 		return true
 	}
-	_, ok := h.previous[id]
+	_, ok := h.previous[k]
 	return ok
 }
--- a/toucanbackend/parent.go
+++ b/toucanbackend/parent.go
@@ -32,7 +32,7 @@
 	if i < 0 {
 		return nil
 	}
-	u := r.runs[id[:i]]
+	u := r.runs[keyOf(id[:i])]
 	if u == nil {
 		return nil
 	}
--- a/toucanbackend/runner.go
+++ b/toucanbackend/runner.go
@@ -35,9 +35,10 @@
 	// rejectedIDRetention is how long a call is refused whose outcome was asked for
 	// before the call arrived. It is longer than any connection delays a message.
 	rejectedIDRetention = 30 * time.Second
-	// freeRetainedBytes is the part of the body of a kept result that does not count in the
-	// memory for bodies.
-	freeRetainedBytes = 4 << 10
+	// runBytes is the memory of a run that has ended beside the header and the body of its
+	// result, and stringBytes that of a string beside its bytes.
+	runBytes    = 512
+	stringBytes = 16
 )
 
 // Runner runs calls at the backend server beside the node. It is safe for
@@ -59,9 +60,9 @@
 	mu       sync.Mutex
 	starts   starts
 	failures decayingShare
-	runs     map[string]*run
+	runs     map[callKey]*run
 	retained []*run // ended runs whose results hold memory, oldest first
-	ended    idHistory
+	ended    callHistory
 	origins  origins
 	onChange func(Server)
 }
@@ -99,7 +100,7 @@
 func NewRunner(o Options) *Runner {
 	r := &Runner{
 		names: o.Names, clock: o.Clock, log: o.Log, onChange: o.OnChange, retryBudget: o.RetryBudget, countServing: o.CountServing, bodies: o.Bodies,
-		heartbeatInterval: o.HeartbeatInterval, runs: make(map[string]*run), starts: starts{unproven: o.NeedsProof},
+		heartbeatInterval: o.HeartbeatInterval, runs: make(map[callKey]*run), starts: starts{unproven: o.NeedsProof},
 	}
 	if r.heartbeatInterval == nil {
 		r.heartbeatInterval = func() time.Duration { return 0 }
@@ -209,19 +210,20 @@
 // Run runs a call, at most once for each id. A second call with the same id gets
 // the result of the first, or an unknown outcome once that result has expired.
 func (r *Runner) Run(ctx context.Context, c *toucanpeer.Call) toucanpeer.Result {
+	key := keyOf(c.ID)
 	r.mu.Lock()
-	if u := r.runs[c.ID]; u != nil {
+	if u := r.runs[key]; u != nil {
 		r.mu.Unlock()
 		return r.awaitResult(ctx, u)
 	}
-	if r.ended.has(c.ID) {
+	if r.ended.has(key) {
 		r.mu.Unlock()
 		return r.withReport(expiredResult)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	u := &run{cancel: cancel, done: make(chan struct{})}
-	r.runs[c.ID] = u
+	r.runs[key] = u
 	child := r.origins.countCall(c.Route, c.Caller, r.clock.Now())
 	r.mu.Unlock()
 	res, held := r.runCall(ctx, c)
@@ -234,26 +236,34 @@
 	}
 	r.mu.Unlock()
 	close(u.done)
-	time.AfterFunc(resultRetention, func() { r.expireResult(c.ID) })
+	time.AfterFunc(resultRetention, func() { r.expireResult(key) }) // must not keep the call itself
 	return r.withReport(res)
 }
 
 // retain returns the result with the memory that it holds, given that of its response, and the
-// result to keep for a sender whose connection broke. Both share the memory. Small results do not
-// count. A result that the memory has no room for is not kept.
+// result to keep for a sender whose connection broke. Both share the memory. A result that the
+// memory has no room for is not kept.
 func (r *Runner) retain(res toucanpeer.Result, held int64) (result, kept toucanpeer.Result) {
-	need := max(0, int64(len(res.Body))-freeRetainedBytes) + toucanpeer.HeaderMemory(res.Header) - held
-	switch {
-	case need <= 0:
-	case r.Grow(held, need):
-		held += need
-	default:
+	if res.Outcome != toucancall.Answered { // it has neither a header nor a body
+		return res, res
+	}
+	need := max(0, resultMemory(res)-held)
+	if !r.Grow(held, need) {
 		return res.WithHolding(toucanmemory.NewHolding(r.bodies, held)), expiredResult
 	}
-	holding := toucanmemory.NewHolding(r.bodies, held)
+	holding := toucanmemory.NewHolding(r.bodies, held+need)
 	return res.WithHolding(holding), res.WithHolding(holding.Share())
 }
 
+// resultMemory returns the bytes of memory that a kept result takes.
+func resultMemory(res toucanpeer.Result) int64 {
+	bytes := int64(runBytes + len(res.Body))
+	for _, s := range res.Header {
+		bytes += int64(len(s)) + stringBytes
+	}
+	return bytes
+}
+
 // Grow takes memory for a header or a body that holds some already. If there is too little, it
 // gives up the oldest results that are kept for senders whose connection broke.
 func (r *Runner) Grow(held, n int64) (ok bool) {
@@ -290,15 +300,15 @@
 	return res
 }
 
-// expireResult removes the result of a call and adds its id to the ended ones.
-func (r *Runner) expireResult(id string) {
+// expireResult removes the result of a call and adds the call to the ended ones.
+func (r *Runner) expireResult(key callKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if u := r.runs[id]; u != nil {
+	if u := r.runs[key]; u != nil {
 		r.releaseResult(u)
 	}
-	delete(r.runs, id)
-	r.ended.add(id, r.clock.Now())
+	delete(r.runs, key)
+	r.ended.add(key, r.clock.Now())
 }
 
 // awaitResult waits for the result of a run until ctx ends.
@@ -317,9 +327,10 @@
 // Await waits for the result of a call whose connection broke. If the call has not
 // arrived, the result is "not run", and the call is refused when it arrives later.
 func (r *Runner) Await(ctx context.Context, id string) toucanpeer.Result {
+	key := keyOf(id)
 	r.mu.Lock()
-	u := r.runs[id]
-	if u == nil && r.ended.has(id) {
+	u := r.runs[key]
+	if u == nil && r.ended.has(key) {
 		r.mu.Unlock()
 		return r.withReport(expiredResult)
 	}
@@ -327,8 +338,8 @@
 		u = &run{cancel: func() {}, done: make(chan struct{}),
 			result: toucanpeer.Result{Outcome: toucancall.NotRun, Reason: toucancall.ReasonConnectionLost}}
 		close(u.done)
-		r.runs[id] = u
-		time.AfterFunc(rejectedIDRetention, func() { r.expireResult(id) })
+		r.runs[key] = u
+		time.AfterFunc(rejectedIDRetention, func() { r.expireResult(key) })
 	}
 	r.mu.Unlock()
 	return r.awaitResult(ctx, u)
@@ -338,7 +349,7 @@
 // is not cancelled after its run has started.
 func (r *Runner) Cancel(id string) {
 	r.mu.Lock()
-	u := r.runs[id]
+	u := r.runs[keyOf(id)]
 	r.mu.Unlock()
 	if u != nil {
 		u.cancel()
--- a/toucanbackend/runner_test.go
+++ b/toucanbackend/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime"
 	"testing"
 	"time"
 
@@ -111,3 +112,38 @@
 	}
 	t.Fatal("the urgent call got no answer")
 }
+
+// A run that has ended must not keep its request, and its result counts in the memory until it has
+// expired, once for the caller and for the kept copy.
+func TestEndedRunKeepsOnlyItsResult(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRunner(t)
+	released := make(chan struct{})
+	var res toucanpeer.Result
+	func() {
+		c := newCall("x")
+		runtime.SetFinalizer(c, func(*toucanpeer.Call) { close(released) })
+		res = r.Run(context.Background(), c)
+	}()
+	is.Equal(res.Outcome, toucancall.Answered)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		runtime.GC()
+		select {
+		case <-released:
+			end = time.Now()
+		default:
+		}
+	}
+	select {
+	case <-released:
+	default:
+		t.Error("the call is kept while its result is")
+	}
+	used := r.UsedMemory()
+	is.True(used > 0)
+	res.Release()
+	is.Equal(r.UsedMemory(), used)
+	for end := time.Now().Add(5 * time.Second); r.UsedMemory() > 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	}
+	is.Equal(r.UsedMemory(), int64(0))
+}
--- a/toucanledger/conn.go
+++ b/toucanledger/conn.go
@@ -36,8 +36,8 @@
 	slot      atomic.Bool  // it holds a slot of a backend server
 	closing   sync.Once
 
-	deadline atomic.Int64 // of writes, in Unix nanoseconds; 0 for none
-	reset    atomic.Bool  // the end of the connection is a reset
+	deadline atomic.Pointer[time.Time] // of writes; nil for none
+	reset    atomic.Bool               // the end of the connection is a reset
 }
 
 // stall is the time at which the process began to wait for the caller, or at which the caller last
@@ -133,8 +133,8 @@
 // nextDeadline returns the time by which the caller must have accepted a byte.
 func (c *Conn) nextDeadline() time.Time {
 	next := time.Now().Add(stallTimeout)
-	if set := c.deadline.Load(); set != 0 && set < next.UnixNano() {
-		return time.Unix(0, set)
+	if set := c.deadline.Load(); set != nil && set.Before(next) {
+		return *set
 	}
 	return next
 }
@@ -142,15 +142,15 @@
 // expired reports whether the deadline of writes has passed.
 func (c *Conn) expired() bool {
 	set := c.deadline.Load()
-	return set != 0 && set <= time.Now().UnixNano()
+	return set != nil && !set.After(time.Now())
 }
 
 // SetWriteDeadline sets a deadline for all writes, in addition to the one for progress.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	if t.IsZero() {
-		c.deadline.Store(0)
+		c.deadline.Store(nil)
 	} else {
-		c.deadline.Store(t.UnixNano())
+		c.deadline.Store(&t)
 	}
 	return c.Conn.SetWriteDeadline(t) // also for a write in progress
 }
--- a/toucanledger/listener.go
+++ b/toucanledger/listener.go
@@ -40,7 +40,6 @@
 	}
 	c := &Conn{Conn: nc, ledger: l.ledger}
 	c.memory = toucanmemory.NewPart(l.ledger.o.Memory, func(held, n int64) bool { return l.ledger.grow(c, held, n) })
-	c.AwaitInput()
 	for !l.ledger.add(c) {
 		select {
 		case <-l.ledger.freed:
@@ -50,6 +49,7 @@
 			return nil, net.ErrClosed
 		}
 	}
+	c.AwaitInput()
 	return c, nil
 }
 
--- a/toucanserve/response.go
+++ b/toucanserve/response.go
@@ -21,6 +21,9 @@
 // WithHolding returns a copy of the response whose memory is counted by h as far as it goes. The
 // server releases h once the response has been written.
 func (r *Response) WithHolding(h *toucanmemory.Holding) *Response {
+	if h == nil {
+		return r
+	}
 	c := *r
 	c.counted = h
 	return &c
