--- a/cmd/toucanhaven/clients_test.go
+++ b/cmd/toucanhaven/clients_test.go
@@ -22,7 +22,7 @@
 
 // The tests in this file start processes beside clients that do not behave: they leave
 // answers unread, or hold connections. Their crowds and bounds are fixed. What is checked does not
-// depend on the speed of the machine: the process lives, its memory and its open
+// depend on how fast the tests run: the process lives, its memory and its open
 // descriptors stay within its limits, and an ordinary request is answered.
 const (
 	// crowdMemoryMB and crowdDescriptors are the limits of the process.
