--- a/toucannode/metered.go
+++ b/toucannode/metered.go
@@ -67,8 +67,8 @@
 
 // freeSlots closes the worst connection that holds a slot without progress of its caller, if calls
 // wait for a slot.
-func (n *Node) freeSlots() {
-	if n.admission.Status().Queued > 0 {
+func (n *Node) freeSlots(admission Admission) {
+	if admission.Status().Queued > 0 {
 		n.closeStalledStream()
 	}
 }
--- a/toucannode/node.go
+++ b/toucannode/node.go
@@ -334,7 +334,8 @@
 	}
 	n.background.Go(n.serveControl)
 	n.background.Go(func() { runEvery(n.ctx, housekeepingInterval, n.runHousekeeping) })
-	n.background.Go(func() { runEvery(n.ctx, slotPoll, n.freeSlots) })
+	admission := n.admission // tests replace it in a node that runs
+	n.background.Go(func() { runEvery(n.ctx, slotPoll, func() { n.freeSlots(admission) }) })
 	for _, task := range n.backgroundTasks {
 		n.background.Go(task)
 	}
