review: steadily reading clients are reset when kernel buffers fill

Cause: toucanledger does not count as progress that a caller reads what the kernel holds after the last byte of a response was written, so it closes callers that read on. Tried: 120 clients of one node that read 600,000 bytes at 200,000 bytes a second each.

--- a/review/standins3/fleet.go
+++ b/review/standins3/fleet.go
@@ -142,14 +142,17 @@
 	return data
 }
 
-// freePort returns a free port of an address.
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// setFreePorts sets addresses with an IP number and free ports, each another one.
+func setFreePorts(ip string, addresses ...*string) error {
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer l.Close() // the ports stay taken until all are chosen
+		*a = l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return nil
 }
 
 func (f *fleet) addMachine(ctx context.Context, s service) error {
@@ -158,11 +161,8 @@
 		fleet: f, name: fmt.Sprintf("sidecar-%d", i), zone: zones[i%len(zones)],
 		ip: fmt.Sprintf(addressTemplate, os.Getpid()%250+1, i+1),
 	}
-	for _, a := range []*string{&m.caller, &m.ready, &m.control, &m.peer, &m.metrics, &m.inside} {
-		var err error
-		if *a, err = freePort(m.ip); err != nil {
-			return err
-		}
+	if err := setFreePorts(m.ip, &m.caller, &m.ready, &m.control, &m.peer, &m.metrics, &m.inside); err != nil {
+		return err
 	}
 	m.settings = filepath.Join(f.dir, m.name+".toml")
 	settings := fmt.Sprintf(`node = %q
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -32,6 +32,7 @@
 	"large-bodies":   largeBodies,
 	"closed-request": closedRequest,
 	"deep-pipeline":  deepPipeline,
+	"slow-readers":   slowReaders,
 }
 
 func main() { os.Exit(runCase()) }
